The whole path, kept thin, as separate processes

Cause: nothing could be measured before a request is served end to end. Ruled out: a router that matches echo patterns on the data path; requests run through our own stages under net/http, and echo serves the admin and stand-in interfaces, because a stage must see each method and raw path.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/platform"
+	"lacewingmount.dev/timeline"
+	"lacewingmount.dev/wire"
+)
+
+// Settings are the static settings of one agent.
+type Settings struct {
+	VM       string `yaml:"vm" validate:"required"`
+	Zone     string `yaml:"zone" validate:"required"`
+	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
+	Admin    string `yaml:"admin" validate:"hostname_port"`
+	Platform string `yaml:"platform" validate:"http_url"`
+}
+
+// Agent is the control plane of one VM.
+type Agent struct {
+	settings Settings
+	log      *zap.Logger
+	events   *timeline.Ring
+	store    platform.Store
+	vms      platform.VMList
+	state    *state
+	claims   *claims
+}
+
+// New returns an agent that uses the given store and list of VMs.
+func New(settings Settings, log *zap.Logger, store platform.Store, vms platform.VMList) *Agent {
+	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-agent")
+	return &Agent{
+		settings: settings, log: log, events: events, store: store, vms: vms,
+		state: newState(), claims: newClaims(store),
+	}
+}
+
+// Run serves until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	admin := daemon.NewAdmin(a.events)
+	if err := admin.Start(ctx, a.settings.Admin); err != nil {
+		return err
+	}
+	listener, err := daemon.Listen(ctx, a.settings.Listen)
+	if err != nil {
+		return err
+	}
+	go a.handlers().Serve(ctx, listener)
+	go a.followDocument(ctx)
+	go a.followMembers(ctx)
+	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
+	a.log.Info("started", zap.String("listen", a.settings.Listen))
+	admin.SetReady(true)
+	<-ctx.Done()
+	a.events.Add(timeline.Event{Kind: timeline.KindStopping})
+	a.log.Info("stopped")
+	return nil
+}
+
+func (a *Agent) handlers() *wire.Handlers {
+	handlers := wire.NewHandlers(a.events.Clock())
+	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
+	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
+	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	return handlers
+}
--- /dev/null
+++ b/cmd/lacewing-agent/main.go
@@ -0,0 +1,20 @@
+// Command lacewing-agent runs the control plane of one VM.
+package main
+
+import (
+	"context"
+
+	"lacewingmount.dev/agent"
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/platform"
+)
+
+const name = "lacewing-agent"
+
+func main() {
+	var settings agent.Settings
+	daemon.Main(name, "Runs the control plane of one VM.", &settings, func(ctx context.Context) error {
+		client := platform.NewHTTPClient(settings.Platform)
+		return agent.New(settings, daemon.NewLogger(name, settings.VM), client, client).Run(ctx)
+	})
+}
--- /dev/null
+++ b/cmd/standin-link/main.go
@@ -0,0 +1,30 @@
+// Command standin-link stands in for network links that can be cut in one
+// direction or go silent.
+package main
+
+import (
+	"context"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/standin"
+)
+
+func main() {
+	var settings standin.LinkSettings
+	daemon.Main("standin-link", "Carries TCP connections and cuts them on demand.", &settings, func(ctx context.Context) error {
+		links := map[string]*standin.Link{}
+		for _, link := range settings.Links {
+			listener, err := daemon.Listen(ctx, link.Listen)
+			if err != nil {
+				return err
+			}
+			links[link.Name] = standin.NewLink(link.Target)
+			go links[link.Name].Serve(ctx, listener)
+		}
+		if err := daemon.ServeHTTP(ctx, settings.Admin, standin.LinkAdmin(links)); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/timeline"
+)
+
+const adminReadHeaderTimeout = 5 * time.Second
+
+// Admin serves /metrics, /livez, /readyz and /timeline of one process.
+type Admin struct {
+	router *echo.Echo
+	ready  atomic.Bool
+}
+
+// NewAdmin returns an admin server that is not ready yet.
+func NewAdmin(events *timeline.Ring) *Admin {
+	admin := &Admin{router: echo.New()}
+	admin.router.HideBanner, admin.router.HidePort = true, true
+	admin.router.GET("/metrics", serveMetrics)
+	admin.router.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
+	admin.router.GET("/readyz", admin.serveReady)
+	admin.router.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, events.Events()) })
+	return admin
+}
+
+// Router returns the router, for endpoints of a single program.
+func (a *Admin) Router() *echo.Echo { return a.router }
+
+// SetReady changes what /readyz answers.
+func (a *Admin) SetReady(ready bool) { a.ready.Store(ready) }
+
+// Ready reports what /readyz answers.
+func (a *Admin) Ready() bool { return a.ready.Load() }
+
+// Start listens on address and serves until ctx ends.
+func (a *Admin) Start(ctx context.Context, address string) error {
+	return ServeHTTP(ctx, address, a.router)
+}
+
+// ServeHTTP listens on address, then serves handler in the background until ctx ends.
+func ServeHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminReadHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (a *Admin) serveReady(c echo.Context) error {
+	if !a.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func serveMetrics(c echo.Context) error {
+	metrics.WritePrometheus(c.Response(), true)
+	return nil
+}
+
+// errListen describes an address that cannot be listened on.
+func errListen(cause error, address string) error {
+	return errs.Wrap(cause, errs.Invalid, "cannot listen on "+address, "choose a free address of this VM in the settings")
+}
--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Version is the version that every program prints; set at link time.
+var Version = "dev"
+
+// Flags are the command line flags that every daemon has.
+type Flags struct {
+	Settings string           `arg:"" type:"existingfile" help:"Path of the YAML settings file."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Main parses the command line, loads the settings into target and runs the
+// program until SIGTERM or SIGINT. It exits 1 with a message on failure.
+func Main(name, description string, target any, run func(context.Context) error) {
+	var flags Flags
+	kong.Parse(&flags, kong.Name(name), kong.Description(description), kong.Vars{"version": name + " " + Version})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := LoadYAML(flags.Settings, target); err != nil {
+		fail(name, err)
+	}
+	if err := run(ctx); err != nil {
+		fail(name, err)
+	}
+}
+
+func fail(name string, err error) {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+	os.Exit(1)
+}
+
+// Listen opens a TCP listener on address.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errListen(err, address)
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/timeline"
+	"lacewingmount.dev/wire"
+)
+
+// Settings are the static settings of one entry.
+type Settings struct {
+	VM         string          `yaml:"vm" validate:"required"`
+	Zone       string          `yaml:"zone" validate:"required"`
+	Listen     string          `yaml:"listen" validate:"hostname_port"` // callers
+	Admin      string          `yaml:"admin" validate:"hostname_port"`
+	Agent      string          `yaml:"agent" validate:"hostname_port"`
+	DrainDelay daemon.Duration `yaml:"drain_delay"` // between not ready and the last new connection
+}
+
+// Entry is the data plane of one VM.
+type Entry struct {
+	settings Settings
+	log      *zap.Logger
+	events   *timeline.Ring
+	agent    *wire.Client
+	admin    *daemon.Admin
+	table    atomic.Pointer[Table]
+	stages   []Stage
+	served   *metrics.Counter
+	duration *metrics.Histogram
+}
+
+// New returns an entry that asks the agent named in the settings.
+func New(settings Settings, log *zap.Logger) *Entry {
+	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
+	agent := wire.NewClient(settings.Agent, events.Clock())
+	claimer := NewAgentClaimer(agent)
+	return &Entry{
+		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events),
+		stages: []Stage{
+			routeStage{},
+			identifyStage{},
+			admitStage{admitter: NewStaticSplit(), now: time.Now},
+			claimStage{claimer: claimer},
+			newForwardStage(settings.Zone, claimer, uint64(time.Now().UnixNano())),
+		},
+		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
+		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
+	}
+}
+
+// Run serves until ctx ends, then lets every request in flight finish.
+func (e *Entry) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := e.admin.Start(background, e.settings.Admin); err != nil {
+		return err
+	}
+	listener, err := daemon.Listen(ctx, e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	server := newServer(e)
+	go func() { _ = server.Serve(listener) }()
+	go e.followSnapshots(background)
+	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
+	e.log.Info("started", zap.String("listen", e.settings.Listen))
+	<-ctx.Done()
+	return e.shutdown(server)
+}
+
+// shutdown reports not ready, waits for the balancer to notice and finishes what is in flight.
+func (e *Entry) shutdown(server *http.Server) error {
+	e.admin.SetReady(false)
+	e.events.Add(timeline.Event{Kind: timeline.KindStopping})
+	e.log.Info("stopping")
+	time.Sleep(e.settings.DrainDelay.Std())
+	err := server.Shutdown(context.Background())
+	e.log.Info("stopped")
+	return err
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 75 * time.Second
+)
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// ServeHTTP runs one request through the stages.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.served.Inc()
+	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
+	defer e.duration.UpdateDuration(x.Started)
+	if x.Table == nil {
+		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
+		return
+	}
+	for _, stage := range e.stages {
+		if refusal := stage.Serve(x); refusal != nil {
+			e.refuse(x, stage.Name(), refusal)
+			return
+		}
+	}
+}
+
+func (e *Entry) refuse(x *Exchange, stage string, refusal *Refusal) {
+	refusal.write(x.Writer)
+	if refusal.Outcome == OutcomeReplayed {
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lacewing_refusals_total{stage=%q,reason=%q,outcome=%q}`, stage, refusal.Reason, refusal.Outcome)).Inc()
+	e.events.Add(timeline.Event{
+		Kind: timeline.KindRefused, Account: x.AccountName(), Request: x.RequestID,
+		Reason: string(refusal.Reason) + " " + string(refusal.Outcome),
+	})
+}
+
+// newRequestID returns an id for the time line and the backend server.
+func newRequestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
--- /dev/null
+++ b/entry/header.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+)
+
+// hopHeaders are connection-specific and never forwarded (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopHeaders deletes hop-by-hop headers and those that Connection names.
+func removeHopHeaders(header http.Header) {
+	for _, list := range header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// copyHeader adds the end-to-end headers of an answer; the outcome header is ours alone.
+func copyHeader(to, from http.Header) {
+	from = from.Clone()
+	removeHopHeaders(from)
+	from.Del(OutcomeHeader)
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// traceSent sets sent once the transport has a connection and is about to write.
+func traceSent(ctx context.Context, sent *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+}
--- /dev/null
+++ b/entry/route.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"net/http"
+	"path"
+	"strings"
+)
+
+// routeStage finds the route of a request.
+type routeStage struct{}
+
+func (routeStage) Name() string { return "route" }
+
+func (routeStage) Serve(x *Exchange) *Refusal {
+	if !canonical(x.Request) {
+		return notRun(http.StatusBadRequest, ReasonMalformed, "the path must be absolute, without dot segments, empty segments or encoded slashes")
+	}
+	route, found := x.Table.Route(x.Request.Method, x.Request.URL.Path)
+	if !found {
+		return notRun(http.StatusNotFound, ReasonNoRoute, "no route has this path")
+	}
+	if route == nil {
+		return notRun(http.StatusMethodNotAllowed, ReasonMethod, "the route does not allow this method")
+	}
+	x.Route = route
+	x.Service = x.Table.services[route.Service]
+	return nil
+}
+
+// canonical reports whether the path means the same to us and to a backend
+// server; otherwise a caller could reach a route under another one's rules.
+func canonical(request *http.Request) bool {
+	decoded := request.URL.Path
+	if !strings.HasPrefix(decoded, "/") || strings.ContainsAny(decoded, "\\;\x00") {
+		return false
+	}
+	cleaned := path.Clean(decoded)
+	if cleaned != decoded && cleaned+"/" != decoded {
+		return false
+	}
+	return !strings.Contains(strings.ToLower(request.URL.EscapedPath()), "%2f")
+}
--- /dev/null
+++ b/standin/link.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// LinkSettings are the settings of a process that stands in for network links.
+type LinkSettings struct {
+	Admin string     `yaml:"admin" validate:"hostname_port"`
+	Links []LinkAddr `yaml:"links" validate:"required,dive"`
+}
+
+// LinkAddr is one link: connections to Listen are carried to Target.
+type LinkAddr struct {
+	Name   string `yaml:"name" validate:"required"`
+	Listen string `yaml:"listen" validate:"hostname_port"`
+	Target string `yaml:"target" validate:"hostname_port"`
+}
+
+// LinkFaults are the faults of one link. A cut direction swallows bytes without
+// closing the connection, as a lost network path does.
+type LinkFaults struct {
+	CutForward  bool          `json:"cut_forward"`  // from the caller to the target
+	CutBackward bool          `json:"cut_backward"` // from the target to the caller
+	SilenceOld  bool          `json:"silence_old"`  // connections open now go silent for good; new ones work
+	Delay       time.Duration `json:"delay"`        // added to each read, nanoseconds
+}
+
+// Link carries TCP connections and cuts each direction on demand.
+type Link struct {
+	target string
+	mu     sync.Mutex
+	faults LinkFaults
+	era    int // connections of an earlier era are silent
+}
+
+// NewLink returns a link to target without faults.
+func NewLink(target string) *Link { return &Link{target: target} }
+
+// SetFaults changes the faults.
+func (l *Link) SetFaults(faults LinkFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+	if faults.SilenceOld {
+		l.era++
+	}
+}
+
+// Serve carries connections until ctx ends.
+func (l *Link) Serve(ctx context.Context, listener net.Listener) {
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.carry(conn)
+	}
+}
+
+func (l *Link) carry(caller net.Conn) {
+	target, err := net.Dial("tcp", l.target)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	l.mu.Lock()
+	era := l.era
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { l.copy(target, caller, era, true) })
+	both.Go(func() { l.copy(caller, target, era, false) })
+	both.Wait()
+}
+
+// copy moves bytes of one direction until either side closes.
+func (l *Link) copy(to, from net.Conn, era int, forward bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		cut, delay := l.state(era, forward)
+		time.Sleep(delay)
+		if !cut && n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err == io.EOF && cut {
+			select {} // a cut path does not tell the other side of a close either
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) state(era int, forward bool) (cut bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut = era != l.era || (forward && l.faults.CutForward) || (!forward && l.faults.CutBackward)
+	return cut, l.faults.Delay
+}
+
+// LinkAdmin returns the control interface of several links: PUT /faults/NAME.
+func LinkAdmin(links map[string]*Link) http.Handler {
+	router := echo.New()
+	router.PUT("/faults/:name", func(c echo.Context) error {
+		link, ok := links[c.Param("name")]
+		if !ok {
+			return echo.ErrNotFound
+		}
+		var faults LinkFaults
+		if err := (&echo.DefaultBinder{}).BindBody(c, &faults); err != nil {
+			return err
+		}
+		link.SetFaults(faults)
+		return c.NoContent(http.StatusNoContent)
+	})
+	return router
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/platform"
+)
+
+// PlatformSettings are the settings of the platform's stand-in.
+type PlatformSettings struct {
+	Listen string        `yaml:"listen" validate:"hostname_port"`
+	VMs    []platform.VM `yaml:"vms" validate:"dive"`
+}
+
+// PlatformFaults are the faults of the store; they can be changed while it runs.
+type PlatformFaults struct {
+	Down        bool          `json:"down"`         // every call is refused
+	Delay       time.Duration `json:"delay"`        // before each answer, nanoseconds
+	LoseWrites  int           `json:"lose_writes"`  // the next N writes take effect without an answer
+	LapseLeases bool          `json:"lapse_leases"` // once, when set
+}
+
+// Platform serves a platform.Memory over the platform's HTTP interface.
+type Platform struct {
+	memory *platform.Memory
+	mu     sync.Mutex
+	faults PlatformFaults
+	calls  map[string]int
+}
+
+// NewPlatform returns a stand-in without faults.
+func NewPlatform(vms []platform.VM) *Platform {
+	memory := platform.NewMemory(time.Now)
+	memory.SetVMs(vms)
+	return &Platform{memory: memory, calls: map[string]int{}}
+}
+
+// Memory returns the store behind the HTTP interface.
+func (p *Platform) Memory() *platform.Memory { return p.memory }
+
+// SetFaults changes the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mu.Lock()
+	p.faults = faults
+	p.mu.Unlock()
+	if faults.LapseLeases {
+		p.memory.LapseLeases()
+	}
+}
+
+// Handler returns the HTTP interface, with /faults, /set-vms and /calls for tests.
+func (p *Platform) Handler() http.Handler {
+	router := echo.New()
+	for path, answer := range p.answers() {
+		router.POST(path, p.serve(path, answer))
+	}
+	router.PUT("/faults", p.putFaults)
+	router.PUT("/set-vms", p.putVMs)
+	router.GET("/calls", p.getCalls)
+	return router
+}
+
+type answerFunc func(context.Context, platform.Request) (platform.Response, error)
+
+func (p *Platform) answers() map[string]answerFunc {
+	m := p.memory
+	return map[string]answerFunc{
+		platform.PathGet: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			entry, err := m.Get(ctx, q.Key)
+			return platform.Response{Entries: []platform.Entry{entry}}, err
+		},
+		platform.PathList: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			entries, err := m.List(ctx, q.Key)
+			return platform.Response{Entries: entries}, err
+		},
+		platform.PathSwap: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			version, err := m.CompareAndSwap(ctx, q.Key, q.Value, q.Expect, q.Lease)
+			return platform.Response{Version: version}, err
+		},
+		platform.PathDelete: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			return platform.Response{}, m.Delete(ctx, q.Key, q.Expect)
+		},
+		platform.PathWatch: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			entries, err := m.Watch(ctx, q.Key, q.After, q.Span)
+			return platform.Response{Entries: entries}, err
+		},
+		platform.PathGrantLease: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			id, err := m.GrantLease(ctx, q.Span)
+			return platform.Response{Lease: id}, err
+		},
+		platform.PathRenewLease: func(ctx context.Context, q platform.Request) (platform.Response, error) {
+			return platform.Response{}, m.RenewLease(ctx, q.Lease)
+		},
+		platform.PathVMs: func(ctx context.Context, _ platform.Request) (platform.Response, error) {
+			vms, err := m.VMs(ctx)
+			return platform.Response{VMs: vms}, err
+		},
+	}
+}
+
+func (p *Platform) serve(path string, answer answerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var question platform.Request
+		if err := c.Bind(&question); err != nil {
+			return err
+		}
+		faults := p.begin(path)
+		time.Sleep(faults.Delay)
+		if faults.Down {
+			panic(http.ErrAbortHandler)
+		}
+		response, err := answer(c.Request().Context(), question)
+		if p.loses(path) || p.down() {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			response = failure(err)
+		}
+		return c.JSON(http.StatusOK, response)
+	}
+}
+
+func failure(err error) platform.Response {
+	response := platform.Response{Kind: errs.KindOf(err), Message: err.Error()}
+	var typed *errs.Error
+	if errors.As(err, &typed) {
+		response.Message, response.Remedy = typed.Message, typed.Remedy
+	}
+	return response
+}
+
+func (p *Platform) begin(path string) PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[path]++
+	return p.faults
+}
+
+func (p *Platform) down() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults.Down
+}
+
+// loses reports whether the answer to this write is to be lost.
+func (p *Platform) loses(path string) bool {
+	if path != platform.PathSwap && path != platform.PathDelete {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseWrites == 0 {
+		return false
+	}
+	p.faults.LoseWrites--
+	return true
+}
+
+func (p *Platform) putFaults(c echo.Context) error {
+	var faults PlatformFaults
+	if err := c.Bind(&faults); err != nil {
+		return err
+	}
+	p.SetFaults(faults)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) putVMs(c echo.Context) error {
+	var vms []platform.VM
+	if err := c.Bind(&vms); err != nil {
+		return err
+	}
+	p.memory.SetVMs(vms)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) getCalls(c echo.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.JSON(http.StatusOK, p.calls)
+}
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,75 @@
+package timeline
+
+import "sync"
+
+// Kind names a type of event.
+type Kind string
+
+// Event kinds.
+const (
+	KindStarted       Kind = "started"
+	KindStopping      Kind = "stopping"
+	KindConfigured    Kind = "configured"
+	KindRefused       Kind = "refused"
+	KindStoreLost     Kind = "store-lost"
+	KindStoreBack     Kind = "store-back"
+	KindMembers       Kind = "members"
+	KindAnswerUnknown Kind = "answer-unknown"
+)
+
+// Event is one entry of the time line. Empty fields do not apply.
+type Event struct {
+	At       Stamp  `json:"at"`
+	VM       string `json:"vm"`
+	Program  string `json:"program"`
+	Kind     Kind   `json:"kind"`
+	Account  string `json:"account,omitempty"`
+	Server   string `json:"server,omitempty"`
+	Request  string `json:"request,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// RingCapacity is the number of events that a process keeps.
+const RingCapacity = 4096
+
+// Ring keeps the newest events of one process. It is safe for concurrent use.
+type Ring struct {
+	mu      sync.Mutex
+	clock   *Clock
+	vm      string
+	program string
+	events  []Event
+	next    int
+}
+
+// NewRing returns an empty ring for the named process.
+func NewRing(clock *Clock, vm, program string) *Ring {
+	return &Ring{clock: clock, vm: vm, program: program}
+}
+
+// Clock returns the clock that stamps the events.
+func (r *Ring) Clock() *Clock { return r.clock }
+
+// Add stamps the event and keeps it, dropping the oldest event when full.
+func (r *Ring) Add(event Event) {
+	event.At = r.clock.Now()
+	event.VM, event.Program = r.vm, r.program
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < RingCapacity {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % RingCapacity
+}
+
+// Events returns a copy of the kept events, oldest first.
+func (r *Ring) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events := make([]Event, 0, len(r.events))
+	events = append(events, r.events[r.next:]...)
+	return append(events, r.events[:r.next]...)
+}
