Membership, peers and the choice of a server as places of their own

Cause: rate sharing, claims, observations and the exchange of configuration all need the other VMs and a home for a key; forwarding and choosing a server are separate decisions and were one file. Change: membership.Home by rendezvous hashing, agent peers with replaceable addresses for network links, entry.Picker that also learns how each attempt ended. Conclusion: no change of behaviour; make demo passes as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,10 @@
 	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
 	Admin    string `yaml:"admin" validate:"hostname_port"`
 	Platform string `yaml:"platform" validate:"http_url"`
+
+	// PeerAddresses replaces the address of some VMs in the platform's list,
+	// by VM name; for VMs that are reached through a network link of their own.
+	PeerAddresses map[string]string `yaml:"peer_addresses" validate:"dive,hostname_port"`
 }
 
 // Agent is the control plane of one VM.
@@ -29,6 +33,7 @@
 	store    platform.Store
 	vms      platform.VMList
 	state    *state
+	peers    *peers
 	claims   *claims
 }
 
@@ -38,6 +43,7 @@
 	return &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
 		state: newState(), claims: newClaims(store),
+		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
 	}
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -60,27 +60,21 @@
 	}
 }
 
-// followMembers counts the VMs in service until ctx ends.
+// followMembers keeps the list of VMs up to date until ctx ends.
 func (a *Agent) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if vms, err := a.vms.VMs(ctx); err == nil {
-			a.countMembers(vms)
+		if vms, err := a.vms.VMs(ctx); err == nil && a.peers.update(vms) {
+			a.membersChanged()
 		}
 		pause(ctx, jitter(membersPeriod))
 	}
 }
 
-func (a *Agent) countMembers(vms []platform.VM) {
-	members := 0
-	for _, vm := range vms {
-		if !vm.Leaving {
-			members++
-		}
-	}
-	if a.state.setMembers(max(members, 1)) {
-		a.events.Add(timeline.Event{Kind: timeline.KindMembers})
-		a.log.Info("members changed", zap.Int("members", members))
-	}
+func (a *Agent) membersChanged() {
+	serving := len(a.peers.inService())
+	a.state.setMembers(max(serving, 1))
+	a.events.Add(timeline.Event{Kind: timeline.KindMembers})
+	a.log.Info("members changed", zap.Int("in_service", serving))
 }
 
 // jitter returns a random duration between half of d and d.
--- /dev/null
+++ b/agent/peers_test.go
@@ -0,0 +1,27 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"lacewingmount.dev/platform"
+	"lacewingmount.dev/timeline"
+)
+
+func TestPeersSkipLeavingHomesAndReplaceAddresses(t *testing.T) {
+	p := newPeers("vm-1", map[string]string{"vm-2": "127.0.0.9:7100"}, timeline.NewClock(time.Now))
+	vms := []platform.VM{
+		{Name: "vm-1", Zone: "a", Address: "127.0.0.1:7100", Leaving: true},
+		{Name: "vm-2", Zone: "b", Address: "127.0.0.2:7100"},
+	}
+	if !p.update(vms) || p.update(vms) {
+		t.Fatal("update must report a change exactly once")
+	}
+	home, self, ok := p.home("reader")
+	if !ok || self || home.Name != "vm-2" || home.Address != "127.0.0.9:7100" {
+		t.Fatalf("home = %+v, self %t, ok %t; want vm-2 at its replaced address", home, self, ok)
+	}
+	if p.client(home) != p.client(home) {
+		t.Fatal("one client for each address")
+	}
+}
--- a/agent/state.go
+++ b/agent/state.go
@@ -35,16 +35,15 @@
 	return true
 }
 
-// setMembers changes the number of VMs in service, and reports whether it differs.
-func (s *state) setMembers(members int) bool {
+// setMembers changes the number of VMs in service.
+func (s *state) setMembers(members int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if members == s.snapshot.Members {
-		return false
+		return
 	}
 	s.snapshot.Members = members
 	s.publish()
-	return true
 }
 
 func (s *state) publish() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,7 +51,7 @@
 			identifyStage{},
 			admitStage{admitter: NewStaticSplit(), now: time.Now},
 			claimStage{claimer: claimer},
-			newForwardStage(settings.Zone, claimer, uint64(time.Now().UnixNano())),
+			newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
 		},
 		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,17 +4,14 @@
 	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"lacewingmount.dev/balance"
 	"lacewingmount.dev/keys"
 	"lacewingmount.dev/wire"
 )
@@ -37,17 +34,15 @@
 	shared  http.RoundTripper // reuses connections
 	once    http.RoundTripper // a fresh connection for each request, so that none is replayed
 	claimer Claimer
-	zone    string
-	random  lockedRand
+	picker  Picker
 }
 
-func newForwardStage(zone string, claimer Claimer, seed uint64) *forwardStage {
+func newForwardStage(picker Picker, claimer Claimer) *forwardStage {
 	return &forwardStage{
 		shared:  newTransport(true),
 		once:    newTransport(false),
 		claimer: claimer,
-		zone:    zone,
-		random:  lockedRand{random: rand.New(rand.NewPCG(seed, seed))},
+		picker:  picker,
 	}
 }
 
@@ -76,6 +71,28 @@
 	complete bool
 	err      error
 	sent     bool // a byte may have reached the server
+	took     time.Duration
+}
+
+// observation says what the attempt tells about its server.
+func (a attempt) observation(ctx context.Context) Observation {
+	observed := Observation{Took: a.took}
+	switch {
+	case a.err == nil:
+		observed.Status = a.answer.StatusCode
+		observed.End = EndAnswered
+	case errors.Is(a.err, errShed):
+		observed.End = EndShed
+	case errors.Is(ctx.Err(), context.Canceled):
+		observed.End = EndCancelled
+	case ctx.Err() != nil:
+		observed.End = EndTimedOut
+	case !a.sent:
+		observed.End = EndNotConnected
+	default:
+		observed.End = EndBroken
+	}
+	return observed
 }
 
 func (s *forwardStage) Serve(x *Exchange) *Refusal {
@@ -83,12 +100,13 @@
 	defer cancel()
 	tried := map[*Server]bool{}
 	for {
-		server := s.pick(x.Service, tried)
+		server := s.picker.Pick(x, tried)
 		if server == nil {
 			return s.finish(x, notRun(http.StatusServiceUnavailable, ReasonNoServer, "no backend server can take the request").after(time.Second))
 		}
 		tried[server] = true
 		last := s.try(ctx, x, server)
+		s.picker.Report(x, server, last.observation(ctx))
 		if last.err == nil {
 			return s.deliver(x, last)
 		}
@@ -106,28 +124,13 @@
 	return context.WithDeadline(x.Request.Context(), x.Started.Add(x.Route.Timeout))
 }
 
-func (s *forwardStage) pick(service *Service, tried map[*Server]bool) *Server {
-	var candidates []balance.Candidate
-	for i, server := range service.Servers {
-		if tried[server] {
-			continue
-		}
-		candidates = append(candidates, balance.Candidate{
-			Index: i, InFlight: int(server.InFlight.Load()), Slots: service.Config.Slots, SameZone: server.Config.Zone == s.zone,
-		})
-	}
-	index, ok := s.random.pick(candidates)
-	if !ok {
-		return nil
-	}
-	return service.Servers[index]
-}
-
 // try sends the request to one server and reads a small answer whole.
-func (s *forwardStage) try(ctx context.Context, x *Exchange, server *Server) attempt {
+func (s *forwardStage) try(ctx context.Context, x *Exchange, server *Server) (result attempt) {
 	server.InFlight.Add(1)
 	defer server.InFlight.Add(-1)
-	result := attempt{server: server}
+	result = attempt{server: server}
+	started := time.Now()
+	defer func() { result.took = time.Since(started) }()
 	var sent atomic.Bool
 	request := outbound(ctx, x, server, &sent)
 	transport := s.shared
@@ -263,15 +266,3 @@
 	defer cancel()
 	_ = s.claimer.Settle(ctx, request) // without a record, duplicates are told that the end is unknown
 }
-
-// lockedRand makes a random source safe for concurrent use.
-type lockedRand struct {
-	mu     sync.Mutex
-	random *rand.Rand
-}
-
-func (l *lockedRand) pick(candidates []balance.Candidate) (int, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return balance.Pick(candidates, l.random)
-}
