--- a/agent/peers_test.go
+++ b/agent/peers_test.go
@@ -21,7 +21,8 @@
 	if !ok || self || home.Name != "vm-2" || home.Address != "127.0.0.9:7100" {
 		t.Fatalf("home = %+v, self %t, ok %t; want vm-2 at its replaced address", home, self, ok)
 	}
-	if p.client(home) != p.client(home) {
+	first, second := p.client(home), p.client(home)
+	if first != second {
 		t.Fatal("one client for each address")
 	}
 }
