Forwarding path: exact knowledge of what was sent, whole answers, retries within a budget

Cause: the thin path counted a request as sent when net/http had a connection, left replay to a second transport without reuse, retried a streamed body that net/http had closed after a dial failure, called a read "not run" when an earlier attempt had been sent and a later one could not connect, cut large answers off at the route's deadline, and counted a streamed answer as finished at its first byte.

Change: net/http gets one connection for each request from a pool of our own (conn.go, lease.go). Uploads have a progress limit in both directions in place of a deadline. Sockets set keepalive and TCP_USER_TIMEOUT (module sockets).

Ruled out: reuse by net/http's own pool. It returns a connection to the pool before it looks for excess bytes, so that a request waiting for a connection can take them for its answer.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"lacewingmount.dev/sockets"
 )
 
 // Version is the version that every program prints; set at link time.
@@ -42,8 +44,7 @@
 
 // Listen opens a TCP listener on address.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
+	listener, err := sockets.Listen(ctx, address)
 	if err != nil {
 		return nil, errListen(err, address)
 	}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/wire"
 )
@@ -76,14 +78,36 @@
 	if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxIdempotencyKey {
 		return wire.ClaimRequest{}, notRun(http.StatusBadRequest, ReasonMalformed, "send exactly one "+idempotencyHeader+" of at most 64 bytes")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, maxProtectedBodyBytes))
-	if err != nil {
-		return wire.ClaimRequest{}, notRun(http.StatusRequestEntityTooLarge, ReasonMalformed, "the body is incomplete or larger than 256 KiB")
+	body, refusal := readProtectedBody(x)
+	if refusal != nil {
+		return wire.ClaimRequest{}, refusal
 	}
 	x.Body = body
 	return wire.ClaimRequest{Account: x.Account.Name, Route: x.Route.Path, Key: keys[0], Digest: digest(x.Request, body)}, nil
 }
 
+// readProtectedBody reads the body whole and checks its digest.
+func readProtectedBody(x *Exchange) ([]byte, *Refusal) {
+	x.Request.Body = http.MaxBytesReader(x.Writer, x.Request.Body, maxProtectedBodyBytes)
+	body, err := newCallerBody(x, callerProgress)
+	if err != nil {
+		return nil, notRun(http.StatusBadRequest, ReasonMalformed, err.Error())
+	}
+	if body == nil {
+		return []byte{}, nil
+	}
+	defer body.stop()
+	content, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, notRun(http.StatusRequestEntityTooLarge, ReasonMalformed, "the body is larger than 256 KiB")
+	}
+	if err != nil {
+		return nil, callerFault(err, false)
+	}
+	return content, nil
+}
+
 func digest(request *http.Request, body []byte) string {
 	sum := sha256.New()
 	_, _ = io.WriteString(sum, request.Method+" "+request.URL.RequestURI()+"\n")
--- a/entry/header.go
+++ b/entry/header.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"context"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 )
 
 // hopHeaders are connection-specific and never forwarded (RFC 9110, section 7.6.1).
@@ -35,10 +32,3 @@
 		to[name] = values
 	}
 }
-
-// traceSent sets sent once the transport has a connection and is about to write.
-func traceSent(ctx context.Context, sent *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-}
--- a/entry/pick.go
+++ b/entry/pick.go
@@ -26,6 +26,7 @@
 	End    End
 	Status int // of an answer, 0 otherwise
 	Took   time.Duration
+	Reused bool // over a connection that had served before; a time-out may be the connection's fault
 }
 
 // Picker chooses backend servers and learns from every attempt.
--- a/entry/table.go
+++ b/entry/table.go
@@ -31,6 +31,7 @@
 type Server struct {
 	Config   config.BackendServer
 	InFlight atomic.Int64 // requests that this VM has there
+	conns    connPool
 }
 
 // newTable compiles a snapshot. Counters of servers that stay are taken over from previous.
--- /dev/null
+++ b/sockets/sockets_test.go
@@ -0,0 +1,81 @@
+package sockets
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// pair returns both ends of a connection made with this package.
+func pair(t *testing.T) (dialed, accepted net.Conn) {
+	t.Helper()
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	dialed, err = Dialer(time.Second).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = dialed.Close() })
+	accepted, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return dialed, accepted
+}
+
+func option(t *testing.T, conn net.Conn, level, name int) int {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := 0
+	_ = raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func TestBothEndsNoticeADeadPeer(t *testing.T) {
+	dialed, accepted := pair(t)
+	for name, conn := range map[string]net.Conn{"dialed": dialed, "accepted": accepted} {
+		if got := option(t, conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); got != int(UserTimeout.Milliseconds()) {
+			t.Errorf("%s: TCP_USER_TIMEOUT = %d ms", name, got)
+		}
+		if got := option(t, conn, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE); got != int(keepAliveIdle.Seconds()) {
+			t.Errorf("%s: TCP_KEEPIDLE = %d s", name, got)
+		}
+		if option(t, conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
+			t.Errorf("%s: keepalive is off", name)
+		}
+	}
+}
+
+func TestQuietFindsUnrequestedBytesAndClosedPeers(t *testing.T) {
+	dialed, accepted := pair(t)
+	if !Quiet(dialed) {
+		t.Fatal("an idle connection is quiet")
+	}
+	if _, err := accepted.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	awaitNoise(t, dialed)
+	dialed, accepted = pair(t)
+	_ = accepted.Close()
+	awaitNoise(t, dialed)
+}
+
+func awaitNoise(t *testing.T, conn net.Conn) {
+	t.Helper()
+	for Quiet(conn) {
+		time.Sleep(time.Millisecond) // the test's own time limit ends a hang
+	}
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -11,13 +10,11 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"lacewingmount.dev/errs"
+	"lacewingmount.dev/sockets"
 	"lacewingmount.dev/timeline"
 )
 
-const (
-	dialTimeout     = 500 * time.Millisecond
-	keepAlivePeriod = 5 * time.Second
-)
+const dialTimeout = 500 * time.Millisecond
 
 // Client calls the methods of one process and reconnects when needed. It is
 // safe for concurrent use.
@@ -73,8 +70,7 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	socket, err := dialer.DialContext(ctx, "tcp", c.address)
+	socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
