--- a/agent/agent.go
+++ b/agent/agent.go
@@ -40,10 +40,11 @@
 // New returns an agent that uses the given store and list of VMs.
 func New(settings Settings, log *zap.Logger, store platform.Store, vms platform.VMList) *Agent {
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-agent")
+	peers := newPeers(settings.VM, settings.PeerAddresses, events.Clock())
 	return &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
-		state: newState(), claims: newClaims(store),
-		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
+		state: newState(), peers: peers,
+		claims: newClaims(settings.VM, store, peers, events, log),
 	}
 }
 
@@ -65,6 +66,7 @@
 	admin.SetReady(true)
 	<-ctx.Done()
 	a.events.Add(timeline.Event{Kind: timeline.KindStopping})
+	a.claims.shutdown()
 	a.log.Info("stopped")
 	return nil
 }
@@ -72,7 +74,6 @@
 func (a *Agent) handlers() *wire.Handlers {
 	handlers := wire.NewHandlers(a.events.Clock())
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
-	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
-	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	a.claims.handle(handlers)
 	return handlers
 }
--- /dev/null
+++ b/agent/bucket.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/once"
+	"lacewingmount.dev/platform"
+)
+
+const (
+	claimStoreTimeout = 1500 * time.Millisecond // for one call of the store
+	ownerTenure       = 3 * time.Second         // in which a bucket is not taken back from the agent that took it
+)
+
+// claimBucket runs one bucket of claims against the store.
+type claimBucket struct {
+	store   platform.Store
+	changed func(role once.Role, owner string)
+
+	mu       sync.Mutex
+	core     *once.Bucket
+	role     once.Role
+	waiting  map[uint64]chan once.Reply // by ticket
+	tickets  uint64
+	timer    *time.Timer
+	lostTo   string // VM that took the bucket over
+	lostTime time.Time
+}
+
+func newClaimBucket(name, self string, store platform.Store, changed func(once.Role, string)) *claimBucket {
+	b := &claimBucket{
+		store: store, changed: changed, role: once.Idle,
+		core: once.NewBucket(name, self, once.DefaultSettings), waiting: map[uint64]chan once.Reply{},
+	}
+	b.timer = time.AfterFunc(time.Hour, b.wake)
+	b.timer.Stop()
+	return b
+}
+
+// claim asks the bucket, which this agent takes over if it does not own it.
+func (b *claimBucket) claim(ctx context.Context, claim once.Claim) once.Reply {
+	b.mu.Lock()
+	b.tickets++
+	ticket, answer := b.tickets, make(chan once.Reply, 1)
+	b.waiting[ticket] = answer
+	b.core.Take()
+	b.core.Claim(time.Now(), ticket, claim)
+	b.turn()
+	b.mu.Unlock()
+	select {
+	case reply := <-answer:
+		return reply
+	case <-ctx.Done():
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.waiting, ticket)
+		return once.Reply{Verdict: once.InDoubt}
+	}
+}
+
+// settle records an end; false means that this agent does not own the bucket yet.
+func (b *claimBucket) settle(end once.Settlement) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Take()
+	done := b.core.Settle(time.Now(), end)
+	b.turn()
+	return done
+}
+
+// takenBy returns the VM that took the bucket over a short time ago.
+func (b *claimBucket) takenBy() (vm string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lostTo, b.lostTo != "" && b.core.Role() == once.Idle && time.Since(b.lostTime) < ownerTenure
+}
+
+// leave stops granting and waits until all ends are written.
+func (b *claimBucket) leave(ctx context.Context) {
+	b.mu.Lock()
+	b.core.Leave()
+	b.turn()
+	b.mu.Unlock()
+	for ctx.Err() == nil && !b.flushed() {
+		pause(ctx, 10*time.Millisecond)
+	}
+}
+
+func (b *claimBucket) flushed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Flushed()
+}
+
+func (b *claimBucket) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn()
+}
+
+// turn hands out replies and starts the next call of the store. It is called
+// after each event, with the lock held.
+func (b *claimBucket) turn() {
+	op, at := b.core.Next(time.Now())
+	for _, reply := range b.core.Replies() {
+		if answer, ok := b.waiting[reply.Ticket]; ok {
+			answer <- reply
+			delete(b.waiting, reply.Ticket)
+		}
+	}
+	if op != nil {
+		go b.perform(op)
+	}
+	if !at.IsZero() {
+		b.timer.Reset(time.Until(at))
+	}
+	b.noteRole()
+}
+
+func (b *claimBucket) noteRole() {
+	role := b.core.Role()
+	if role == b.role {
+		return
+	}
+	b.role = role
+	vm, _, _ := strings.Cut(b.core.Owner(), ownerSeparator)
+	if role == once.Idle {
+		b.lostTo, b.lostTime = vm, time.Now()
+	}
+	b.changed(role, vm)
+}
+
+// perform calls the store and takes in the answer.
+func (b *claimBucket) perform(op *once.Op) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimStoreTimeout)
+	defer cancel()
+	result := callStore(ctx, b.store, op)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Done(time.Now(), result)
+	b.turn()
+}
+
+func callStore(ctx context.Context, store platform.Store, op *once.Op) once.Result {
+	switch op.Kind {
+	case once.OpList:
+		return listResult(store.List(ctx, op.Key))
+	case once.OpGet:
+		entry, err := store.Get(ctx, op.Key)
+		return newResult(entry.Version, entry.Value, err)
+	case once.OpDelete:
+		return newResult(0, nil, store.Delete(ctx, op.Key, platform.Version(op.Expect)))
+	default:
+		version, err := store.CompareAndSwap(ctx, op.Key, op.Value, platform.Version(op.Expect), 0)
+		return newResult(version, nil, err)
+	}
+}
+
+func newResult(version platform.Version, value []byte, err error) once.Result {
+	switch {
+	case err == nil || errs.KindOf(err) == errs.NotFound:
+		return once.Result{Version: uint64(version), Value: value}
+	case errs.KindOf(err) == errs.Conflict:
+		return once.Result{Conflict: true}
+	}
+	return once.Result{Failed: true}
+}
+
+func listResult(entries []platform.Entry, err error) once.Result {
+	result := once.Result{Failed: err != nil}
+	for _, entry := range entries {
+		result.Entries = append(result.Entries, once.StoredEntry{Key: entry.Key, Value: entry.Value, Version: uint64(entry.Version)})
+	}
+	return result
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -10,16 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"lacewingmount.dev/errs"
+	"lacewingmount.dev/once"
 	"lacewingmount.dev/wire"
 )
 
 const (
 	idempotencyHeader     = "Idempotency-Key"
-	maxIdempotencyKey     = 64               // bytes
-	maxProtectedBodyBytes = 256 << 10        // a protected request is read whole before it is claimed
-	claimTimeout          = 2 * time.Second  // for one call to the agent
-	settleTimeout         = 10 * time.Second // after the answer has gone to the caller
+	maxProtectedBodyBytes = 256 << 10 // a protected request is read whole before it is claimed
+	claimTimeout          = 2 * time.Second
 )
 
 // Claimer grants protected requests, each at most once across the fleet.
@@ -46,7 +44,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	ctx, cancel := context.WithTimeout(x.Request.Context(), claimTimeout)
+	ctx, cancel := claimContext(x)
 	defer cancel()
 	answer, err := s.claimer.Claim(ctx, request)
 	if err != nil {
@@ -55,6 +53,15 @@
 	return s.decide(x, request, answer)
 }
 
+// claimContext ends with the caller's deadline, or before.
+func claimContext(x *Exchange) (context.Context, context.CancelFunc) {
+	latest := time.Now().Add(claimTimeout)
+	if due, ok := x.Deadline(); ok && due.Before(latest) {
+		latest = due
+	}
+	return context.WithDeadline(x.Request.Context(), latest)
+}
+
 // decide maps the claim's state to an answer.
 func (s claimStage) decide(x *Exchange, request wire.ClaimRequest, answer wire.ClaimAnswer) *Refusal {
 	switch answer.State {
@@ -63,27 +70,37 @@
 		return nil
 	case wire.ClaimAnswered:
 		if answer.Kept != nil {
-			return replay(x, answer.Kept)
+			return replay(answer.Kept)
 		}
 		return unknown(http.StatusConflict, ReasonDuplicate, "the request was answered before; its answer was not kept")
 	case wire.ClaimMismatch:
 		return notRun(http.StatusUnprocessableEntity, ReasonDuplicate, "the "+idempotencyHeader+" was used with another request")
+	case wire.ClaimTooEarly:
+		return notRun(http.StatusBadRequest, ReasonKeyAge, "the timestamp of the "+idempotencyHeader+" is ahead of time; set the clock and use a new key")
+	case wire.ClaimTooOld:
+		return unknown(http.StatusConflict, ReasonKeyAge, "the "+idempotencyHeader+" is too old; whether an earlier copy ran is no longer known, and this one was not sent")
 	default:
-		return unknown(http.StatusConflict, ReasonDuplicate, "the request was sent before and its end is not known yet")
+		return unknown(http.StatusConflict, ReasonDuplicate, "the request was sent before and its end is not known yet; try again with the same key").after(time.Second)
 	}
 }
 
 func newClaim(x *Exchange) (wire.ClaimRequest, *Refusal) {
 	keys := x.Request.Header.Values(idempotencyHeader)
-	if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxIdempotencyKey {
-		return wire.ClaimRequest{}, notRun(http.StatusBadRequest, ReasonMalformed, "send exactly one "+idempotencyHeader+" of at most 64 bytes")
+	if len(keys) != 1 {
+		return wire.ClaimRequest{}, notRun(http.StatusBadRequest, ReasonMalformed, "send exactly one "+idempotencyHeader)
+	}
+	if _, err := once.ParseKey(keys[0]); err != nil {
+		return wire.ClaimRequest{}, notRun(http.StatusBadRequest, ReasonMalformed, idempotencyHeader+": "+err.Error())
 	}
 	body, refusal := readProtectedBody(x)
 	if refusal != nil {
 		return wire.ClaimRequest{}, refusal
 	}
 	x.Body = body
-	return wire.ClaimRequest{Account: x.Account.Name, Route: x.Route.Path, Key: keys[0], Digest: digest(x.Request, body)}, nil
+	return wire.ClaimRequest{
+		Account: x.Account.Name, Route: x.Route.Path, Key: keys[0],
+		Digest: digest(x.Request, body), Attempt: x.RequestID,
+	}, nil
 }
 
 // readProtectedBody reads the body whole and checks its digest.
@@ -116,34 +133,6 @@
 }
 
 // replay answers a duplicate with the kept answer.
-func replay(x *Exchange, kept *wire.KeptAnswer) *Refusal {
+func replay(kept *wire.KeptAnswer) *Refusal {
 	return &Refusal{Status: kept.Status, Outcome: OutcomeReplayed, Reason: ReasonDuplicate, kept: kept}
 }
-
-// AgentClaimer claims through the VM's agent.
-type AgentClaimer struct {
-	agent *wire.Client
-}
-
-// NewAgentClaimer returns a Claimer that calls the agent.
-func NewAgentClaimer(agent *wire.Client) *AgentClaimer { return &AgentClaimer{agent: agent} }
-
-// Claim implements Claimer.
-func (c *AgentClaimer) Claim(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
-	var answer wire.ClaimAnswer
-	err := c.agent.Call(ctx, wire.MethodClaim, request, &answer)
-	return answer, err
-}
-
-// Settle implements Claimer. A call that was not performed is tried again.
-func (c *AgentClaimer) Settle(ctx context.Context, request wire.SettleRequest) error {
-	for {
-		err := c.agent.Call(ctx, wire.MethodSettle, request, nil)
-		if errs.KindOf(err) != errs.Unavailable || ctx.Err() != nil {
-			return err
-		}
-		time.Sleep(settleRetry)
-	}
-}
-
-const settleRetry = 200 * time.Millisecond
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -14,7 +14,8 @@
 // deliver sends the answer to the caller. A whole one is sent with its length;
 // another is copied as it comes and breaks the caller's connection if it breaks.
 func (s *forwardStage) deliver(x *Exchange, d *dispatch, last *attempt) {
-	s.settleAnswered(x, last)
+	settled := s.settleAnswered(x, last)
+	defer settled() // a graceful shutdown waits for it
 	control := http.NewResponseController(x.Writer)
 	out := &progressWriter{writer: x.Writer, control: control, progress: s.limits.callerProgress}
 	defer out.clear()
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -37,6 +38,7 @@
 	ReasonKey          Reason = "key"
 	ReasonRate         Reason = "rate"
 	ReasonDuplicate    Reason = "duplicate"
+	ReasonKeyAge       Reason = "key-age"
 	ReasonClaim        Reason = "claim-unavailable"
 	ReasonNoServer     Reason = "no-server"
 	ReasonServerFailed Reason = "server-failed"
@@ -79,6 +81,9 @@
 // write sends the refusal to the caller.
 func (r *Refusal) write(w http.ResponseWriter) {
 	header := w.Header()
+	if r.kept != nil {
+		maps.Copy(header, r.kept.Header)
+	}
 	header.Set(OutcomeHeader, string(r.Outcome))
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
@@ -94,7 +99,7 @@
 
 func (r *Refusal) content() (contentType string, body []byte) {
 	if r.kept != nil {
-		return r.kept.ContentType, r.kept.Body
+		return "", r.kept.Body
 	}
 	body, err := json.Marshal(problem{
 		Title: http.StatusText(r.Status), Status: r.Status, Detail: r.Detail, Reason: r.Reason, Outcome: r.Outcome,
--- /dev/null
+++ b/once/bucket_test.go
@@ -0,0 +1,284 @@
+package once
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+)
+
+var simSettings = Settings{
+	Window: Window{Past: 2 * time.Second, Ahead: 500 * time.Millisecond}, Ring: 8, CompactAfter: 4, BatchBytes: 300,
+	WriteRate: 200, WriteBurst: 4, SettleDelay: 20 * time.Millisecond, RetryDelay: 20 * time.Millisecond,
+	MaxClaims: 1000, MaxKeptAnswer: 100, MaxKeptTotal: 400,
+}
+
+func shortOf(n int) (short Short) {
+	binary.BigEndian.PutUint64(short[:], uint64(n))
+	return short
+}
+
+// chaos lets entries claim the same keys several times, also late, through
+// agents that are paused and restarted, with a store that loses and delays calls.
+func chaos(seed uint64, unfenced bool) (keys []*simKey, s *sim) {
+	s = newSim(seed, 3, simSettings)
+	s.store.unfenced = unfenced
+	start := s.now
+	attempts := 0
+	for i := range 40 {
+		key := &simKey{stamp: start.Add(s.delay(4 * time.Second))}
+		binary.BigEndian.PutUint64(key.id[:], uint64(i+1))
+		keys = append(keys, key)
+		for range 1 + s.random.IntN(4) {
+			attempts++
+			attempt := &simAttempt{key: key, short: shortOf(attempts), body: shortOf(s.random.IntN(10) / 9)}
+			late := s.delay(200 * time.Millisecond)
+			if s.chance(0.3) {
+				late = s.delay(5 * time.Second) // also past the window
+			}
+			s.after(key.stamp.Sub(start)+late, func() { s.claim(attempt) })
+		}
+	}
+	for range 12 {
+		agent := s.agents[s.random.IntN(len(s.agents))]
+		pause := s.delay(400 * time.Millisecond)
+		s.after(s.delay(6*time.Second), func() { agent.paused = s.now.Add(pause) })
+		restarted := s.agents[s.random.IntN(len(s.agents))]
+		if s.chance(0.5) {
+			s.after(s.delay(6*time.Second), func() { restarted.restart() })
+		}
+	}
+	from := s.delay(6 * time.Second)
+	s.after(from, func() { s.store.down = true })
+	s.after(from+s.delay(time.Second), func() { s.store.down = false })
+	s.runUntil(start.Add(12 * time.Second))
+	return keys, s
+}
+
+const seeds = 400
+
+func TestProofOnceUnderChaos(t *testing.T) {
+	ran, claimed := 0, 0
+	for seed := range uint64(seeds) {
+		keys, s := chaos(seed, false)
+		for _, key := range keys {
+			if key.runs > 1 {
+				t.Fatalf("seed %d: request %x ran %d times", seed, key.id[:8], key.runs)
+			}
+			ran += key.runs
+			claimed++
+		}
+		checkAlive(t, seed, keys, s)
+	}
+	t.Logf("%d of %d requests ran", ran, claimed)
+	if ran < claimed/2 {
+		t.Fatalf("only %d of %d requests ran; the faults leave nothing to prove", ran, claimed)
+	}
+}
+
+// checkAlive asks for every key again once the faults are over: there must be a
+// verdict, and none that lets a request run that has run.
+func checkAlive(t *testing.T, seed uint64, keys []*simKey, s *sim) {
+	t.Helper()
+	s.faults = false
+	for i, key := range keys {
+		key.stamp = s.now // only the identity counts
+		verdict := s.ask(0, key, 10_000+i, 0)
+		if verdict == "" || s.agents[0].bucket.Fault() != nil {
+			t.Fatalf("seed %d: no verdict on request %d, %v", seed, i, s.agents[0].bucket.Fault())
+		}
+	}
+}
+
+// With a store that does not compare versions, two owners grant the same request.
+func TestControlOnceWithoutFencing(t *testing.T) {
+	for seed := range uint64(seeds) {
+		keys, _ := chaos(seed, true)
+		for _, key := range keys {
+			if key.runs > 1 {
+				return
+			}
+		}
+	}
+	t.Fatal("the control must show a request that ran twice")
+}
+
+// ask claims a key at an agent of a sim without faults and returns the verdict.
+// An agent that finds out that it has lost the bucket is asked again.
+func (s *sim) ask(agent int, key *simKey, attempt, body int) Verdict {
+	asked := &simAttempt{key: key, short: shortOf(attempt), body: shortOf(body), probe: true}
+	for range 2 {
+		s.call(s.agents[agent], asked)()
+		s.runUntil(s.now.Add(100 * time.Millisecond))
+		if asked.verdict != NotOwner {
+			break
+		}
+	}
+	return asked.verdict
+}
+
+// end settles an attempt at an agent.
+func (s *sim) end(agent int, key *simKey, attempt int, end Settlement) {
+	end.ID, end.Stamp, end.Attempt = key.id, key.stamp, shortOf(attempt)
+	s.agents[agent].do(func() { s.agents[agent].bucket.Settle(s.agents[agent].clock(), end) })
+	s.runUntil(s.now.Add(100 * time.Millisecond))
+}
+
+const calmWindow = 10 * time.Second
+
+func calm(agents int) *sim {
+	settings := simSettings
+	settings.Window.Past = calmWindow
+	s := newSim(1, agents, settings)
+	s.faults = false
+	return s
+}
+
+func (s *sim) newKey(n int, stamp time.Duration) *simKey {
+	key := &simKey{stamp: s.now.Add(stamp)}
+	binary.BigEndian.PutUint64(key.id[:], uint64(n))
+	return key
+}
+
+func TestVerdicts(t *testing.T) {
+	s := calm(2)
+	key, kept, released := s.newKey(1, 0), s.newKey(2, 0), s.newKey(3, 0)
+	expect := func(what string, got, want Verdict) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %s, want %s", what, got, want)
+		}
+	}
+	expect("first", s.ask(0, key, 1, 1), Granted)
+	expect("same attempt again", s.ask(0, key, 1, 1), Granted)
+	expect("duplicate", s.ask(0, key, 2, 1), Pending)
+	expect("duplicate through another owner", s.ask(1, key, 3, 1), Pending)
+	expect("other body", s.ask(1, key, 4, 2), Mismatch)
+	expect("ahead of time", s.ask(1, s.newKey(9, 700*time.Millisecond), 5, 1), TooEarly)
+	expect("too old", s.ask(1, s.newKey(10, -11*time.Second), 6, 1), TooOld)
+
+	expect("to be answered", s.ask(1, kept, 7, 1), Granted)
+	s.end(1, kept, 7, Settlement{Kept: []byte("answer")})
+	expect("answered", s.ask(1, kept, 8, 1), Replay)
+	expect("answered, at another owner", s.ask(0, kept, 9, 1), Replay)
+
+	expect("to be released", s.ask(0, released, 10, 1), Granted)
+	s.end(0, released, 10, Settlement{NotRun: true})
+	expect("released attempt", s.ask(0, released, 10, 1), Refused)
+	expect("released, with another body", s.ask(0, released, 11, 2), Granted)
+
+	abandoned := s.newKey(4, 0)
+	s.end(0, abandoned, 12, Settlement{NotRun: true})
+	expect("claim that arrives after its release", s.ask(0, abandoned, 12, 1), Refused)
+	expect("next attempt", s.ask(0, abandoned, 13, 1), Granted)
+}
+
+// Claims outlive the ring by compaction and leave memory and store after the window.
+func TestClaimsOutliveTheRingAndNotTheWindow(t *testing.T) {
+	s := calm(2)
+	first := s.newKey(1, 0)
+	s.ask(0, first, 1, 1)
+	for i := range 4 * simSettings.Ring {
+		s.ask(0, s.newKey(100+i, 0), 100+i, 1)
+	}
+	if got := s.ask(1, first, 2, 1); got != Pending {
+		t.Fatalf("a claim that the ring has overwritten: %s", got)
+	}
+	most := len(s.store.values)
+	s.runUntil(s.now.Add(3 * calmWindow))
+	if got := s.ask(1, first, 3, 1); got != TooOld {
+		t.Fatalf("after the window: %s", got)
+	}
+	s.runUntil(s.now.Add(calmWindow))
+	left, claims := len(s.store.values), s.agents[1].bucket.Claims()
+	if left >= most || left > simSettings.Ring || claims != 0 {
+		t.Fatalf("%d keys of %d and %d claims are left after the window", left, most, claims)
+	}
+}
+
+// A burst that is longer than the ring is compacted before it overwrites
+// itself, so that an owner that takes over in the middle knows all grants.
+func TestBurstLongerThanTheRing(t *testing.T) {
+	s := calm(2)
+	var burst []*simAttempt
+	for i := range 80 {
+		burst = append(burst, &simAttempt{key: s.newKey(i+1, 0), short: shortOf(i), probe: true})
+		s.call(s.agents[0], burst[i])()
+	}
+	for s.agents[0].bucket.log.last < uint64(simSettings.Ring)+2 {
+		s.runUntil(s.now.Add(time.Millisecond))
+	}
+	s.runUntil(s.now.Add(5 * time.Millisecond)) // replies arrive
+	s.agents[0].paused = s.now.Add(time.Hour)
+	granted := 0
+	for i, asked := range burst {
+		if asked.verdict != Granted {
+			continue
+		}
+		granted++
+		if got := s.ask(1, asked.key, 1000+i, 0); got != Pending {
+			t.Fatalf("claim %d after a takeover: %s", i, got)
+		}
+	}
+	if granted < 40 || granted == len(burst) {
+		t.Fatalf("%d granted; the takeover was to come in the middle", granted)
+	}
+}
+
+// What one owner has forgotten is refused by the next one, also if its clock
+// says that the key is inside the window.
+func TestFloorOutlivesClockSkew(t *testing.T) {
+	s := calm(2)
+	s.agents[0].skew, s.agents[1].skew = time.Second, -time.Second
+	key := s.newKey(1, 0)
+	if got := s.ask(0, key, 1, 1); got != Granted {
+		t.Fatal(got)
+	}
+	s.runUntil(s.now.Add(calmWindow - 500*time.Millisecond))
+	s.ask(0, s.newKey(2, 0), 2, 1) // raises the floor
+	if got := s.ask(1, key, 3, 1); got != TooOld {
+		t.Fatalf("forgotten by the owner before: %s", got)
+	}
+}
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	s := calm(1)
+	replays := 0
+	for i := range 10 {
+		key := s.newKey(i+1, 0)
+		s.ask(0, key, 2*i+1, 1)
+		s.end(0, key, 2*i+1, Settlement{Kept: make([]byte, simSettings.MaxKeptAnswer)})
+		if s.ask(0, key, 2*i+2, 1) == Replay {
+			replays++
+		}
+	}
+	if kept := s.agents[0].bucket.ledger.keptBytes; replays != 10 || kept > simSettings.MaxKeptTotal {
+		t.Fatalf("%d replays, %d bytes kept", replays, kept)
+	}
+}
+
+// During an outage of the store nothing is granted, and what is told is true.
+func TestStoreOutageGrantsNothing(t *testing.T) {
+	for release, after := range map[bool]Verdict{true: Granted, false: Pending} {
+		s := calm(2)
+		before, during := s.newKey(1, 0), s.newKey(2, 0)
+		s.ask(0, before, 1, 1)
+		s.store.down = true
+		if got := s.ask(0, during, 2, 1); got != InDoubt {
+			t.Errorf("claim whose write got no answer: %s", got)
+		}
+		if got := s.ask(0, s.newKey(3, 0), 3, 1); got != Refused {
+			t.Errorf("claim while the store is known to be down: %s", got)
+		}
+		if got := s.ask(0, before, 4, 1); got != Pending {
+			t.Errorf("duplicate of an earlier request: %s", got)
+		}
+		if release {
+			s.end(0, during, 2, Settlement{NotRun: true})
+		}
+		s.store.down = false
+		s.runUntil(s.now.Add(time.Second))
+		if got := s.ask(0, during, 5, 1); got != after {
+			t.Errorf("after the outage, released %t: %s, want %s", release, got, after)
+		}
+	}
+}
--- /dev/null
+++ b/once/log.go
@@ -0,0 +1,224 @@
+package once
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Prefix is the store prefix of all claims.
+const Prefix = "claims/"
+
+// OpKind is a call of the store.
+type OpKind string
+
+// Calls of the store.
+const (
+	OpList   OpKind = "list"
+	OpGet    OpKind = "get"
+	OpSwap   OpKind = "swap"
+	OpDelete OpKind = "delete"
+)
+
+// purpose says what a call is for.
+type purpose int
+
+const (
+	listLog purpose = iota
+	writeEntry
+	readBack
+	writeSegment
+	deleteSegment
+)
+
+// Op is a call of the store that a bucket asks for.
+type Op struct {
+	Kind   OpKind
+	Key    string // prefix for OpList
+	Value  []byte
+	Expect uint64 // version, 0 for absent
+
+	kind     purpose
+	position uint64
+	floor    int64
+	newest   int64
+}
+
+// StoredEntry is a key of the store.
+type StoredEntry struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Result is the answer to an Op. A key that is absent has version 0.
+type Result struct {
+	Version  uint64 // of OpGet and OpSwap
+	Value    []byte // of OpGet
+	Entries  []StoredEntry
+	Conflict bool // another version was found
+	Failed   bool // no answer; a write may have taken effect
+}
+
+// log is one agent's view of a bucket's log.
+type log struct {
+	bucket   string
+	settings Settings
+	loaded   bool
+	last     uint64   // last position that is known to be written
+	versions []uint64 // of the ring's keys
+	through  uint64   // last position that a segment holds
+	recent   []Record // of the positions after through
+	segments []segmentInfo
+	doubt    *Op // a write that may have taken effect
+	again    *Op // a write in doubt that has to be repeated
+}
+
+type segmentInfo struct {
+	key     string
+	version uint64
+	newest  int64
+}
+
+func newLog(bucket string, settings Settings) log {
+	return log{bucket: bucket, settings: settings, versions: make([]uint64, settings.Ring)}
+}
+
+func (l *log) prefix() string { return Prefix + l.bucket + "/" }
+
+func (l *log) slotKey(position uint64) string {
+	return fmt.Sprintf("%sposition-%02d", l.prefix(), position%uint64(l.settings.Ring))
+}
+
+func (l *log) segmentKey(through uint64) string {
+	return fmt.Sprintf("%ssegment-%016x", l.prefix(), through)
+}
+
+func (l *log) list() *Op { return &Op{Kind: OpList, Key: l.prefix(), kind: listLog} }
+
+// entry returns the write of the next position, without its value.
+func (l *log) entry() *Op {
+	position := l.last + 1
+	return &Op{
+		Kind: OpSwap, Key: l.slotKey(position), Expect: l.versions[position%uint64(l.settings.Ring)],
+		kind: writeEntry, position: position,
+	}
+}
+
+// resolve reads back the position of a write in doubt.
+func (l *log) resolve() *Op { return &Op{Kind: OpGet, Key: l.doubt.Key, kind: readBack} }
+
+// load rebuilds the log and its records from the bucket's keys.
+func (l *log) load(entries []StoredEntry, ledger *ledger) error {
+	var positions []logEntry
+	for _, stored := range entries {
+		if strings.HasPrefix(stored.Key, l.prefix()+"segment-") {
+			if err := l.loadSegment(stored, ledger); err != nil {
+				return err
+			}
+			continue
+		}
+		var entry logEntry
+		if err := decode(stored.Key, stored.Value, &entry); err != nil {
+			return err
+		}
+		l.versions[entry.Position%uint64(l.settings.Ring)] = stored.Version
+		positions = append(positions, entry)
+	}
+	slices.SortFunc(positions, func(a, b logEntry) int { return int(int64(a.Position) - int64(b.Position)) })
+	for _, entry := range positions {
+		l.last = entry.Position
+		ledger.floor = max(ledger.floor, entry.Floor)
+		for _, record := range entry.Records {
+			ledger.apply(record)
+		}
+		if entry.Position > l.through {
+			l.recent = append(l.recent, entry.Records...)
+		}
+	}
+	ledger.forget(ledger.floor)
+	l.loaded = true
+	return nil
+}
+
+func (l *log) loadSegment(stored StoredEntry, ledger *ledger) error {
+	var content segment
+	if err := decode(stored.Key, stored.Value, &content); err != nil {
+		return err
+	}
+	for _, record := range content.Records {
+		ledger.apply(record)
+	}
+	l.through = max(l.through, content.Through)
+	l.segments = append(l.segments, segmentInfo{key: stored.Key, version: stored.Version, newest: content.Newest})
+	return nil
+}
+
+// wrote takes in a position that is confirmed.
+func (l *log) wrote(op *Op, version uint64, records []Record) {
+	l.last = op.position
+	l.versions[op.position%uint64(l.settings.Ring)] = version
+	l.recent = append(l.recent, records...)
+}
+
+// full reports whether the next position would overwrite records that no segment holds.
+func (l *log) full() bool { return l.last-l.through >= uint64(l.settings.Ring)-1 }
+
+func (l *log) wantsCompaction() bool { return l.last-l.through >= uint64(l.settings.CompactAfter) }
+
+// compact returns the write of a segment with the latest record of each claim
+// since the segment before.
+func (l *log) compact() *Op {
+	latest := map[ID]int{}
+	content := segment{Through: l.last}
+	for _, record := range l.recent {
+		content.Newest = max(content.Newest, record.Stamp)
+		if at, seen := latest[record.ID]; seen {
+			content.Records[at] = record
+			continue
+		}
+		latest[record.ID] = len(content.Records)
+		content.Records = append(content.Records, record)
+	}
+	return &Op{
+		Kind: OpSwap, Key: l.segmentKey(l.last), Value: encode(content),
+		kind: writeSegment, position: l.last, newest: content.Newest,
+	}
+}
+
+func (l *log) compacted(op *Op, result Result) {
+	l.through, l.recent = op.position, nil
+	l.segments = append(l.segments, segmentInfo{key: op.Key, version: result.Version, newest: op.newest})
+}
+
+// expired returns a segment whose claims are all below the floor, or nil.
+func (l *log) expired(floor int64) *segmentInfo {
+	for i := range l.segments {
+		if l.segments[i].newest < floor {
+			return &l.segments[i]
+		}
+	}
+	return nil
+}
+
+// remove returns the deletion of an expired segment, or the call that finds its version.
+func (l *log) remove(floor int64) *Op {
+	old := l.expired(floor)
+	if old.version == 0 {
+		return &Op{Kind: OpGet, Key: old.key, kind: deleteSegment}
+	}
+	return &Op{Kind: OpDelete, Key: old.key, Expect: old.version, kind: deleteSegment}
+}
+
+// removed takes in the answer to remove.
+func (l *log) removed(op *Op, result Result) {
+	if op.Kind == OpGet && result.Version != 0 {
+		for i := range l.segments {
+			if l.segments[i].key == op.Key {
+				l.segments[i].version = result.Version
+			}
+		}
+		return
+	}
+	l.segments = slices.DeleteFunc(l.segments, func(s segmentInfo) bool { return s.key == op.Key })
+}
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -14,6 +14,7 @@
 //	                     print status, headers and body to stdout
 //	put URL BODY         PUT JSON, for the control interfaces of stand-ins
 //	grant VAR ACCOUNT    grant a client key and keep it in $VAR
+//	uuid VAR ...         keep a new UUIDv7, as an Idempotency-Key, in each $VAR
 //	ctl ARGS             run lacewingctl with the script's platform and credential
 //	expand FILE          replace $NET and other variables in a file
 //
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -6,10 +6,6 @@
 const (
 	// MethodSnapshot waits for a newer snapshot; SnapshotRequest to Snapshot.
 	MethodSnapshot = "agent.snapshot"
-	// MethodClaim claims a protected request; ClaimRequest to ClaimAnswer.
-	MethodClaim = "agent.claim"
-	// MethodSettle records the end of a claimed request; SettleRequest to SettleAnswer.
-	MethodSettle = "agent.settle"
 )
 
 // SnapshotRequest names the snapshot that the entry already has.
@@ -23,45 +19,3 @@
 	Members  int              `json:"members"`  // VMs in service
 	Document *config.Document `json:"document"` // nil until the first configuration is known
 }
-
-// ClaimRequest asks for the right to send a protected request once.
-type ClaimRequest struct {
-	Account string `json:"account"`
-	Route   string `json:"route"`
-	Key     string `json:"key"`    // the caller's Idempotency-Key
-	Digest  string `json:"digest"` // of the method, path and body
-}
-
-// ClaimState says what is known about a protected request.
-type ClaimState string
-
-// Claim states.
-const (
-	ClaimGranted  ClaimState = "granted"  // the caller may send it, once
-	ClaimPending  ClaimState = "pending"  // claimed before, end not known
-	ClaimAnswered ClaimState = "answered" // answered before
-	ClaimMismatch ClaimState = "mismatch" // the same key came with another request
-)
-
-// KeptAnswer is an answer that is replayed to duplicates.
-type KeptAnswer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-}
-
-// ClaimAnswer says whether the request may be sent.
-type ClaimAnswer struct {
-	State ClaimState  `json:"state"`
-	Kept  *KeptAnswer `json:"kept,omitempty"`
-}
-
-// SettleRequest records how a claimed request ended.
-type SettleRequest struct {
-	Claim  ClaimRequest `json:"claim"`
-	NotRun bool         `json:"not_run,omitempty"` // the claim may be granted again
-	Kept   *KeptAnswer  `json:"kept,omitempty"`
-}
-
-// SettleAnswer acknowledges a SettleRequest.
-type SettleAnswer struct{}
--- a/wire/client.go
+++ b/wire/client.go
@@ -22,7 +22,14 @@
 	address string
 	clock   *timeline.Clock
 	mu      sync.Mutex
-	conn    *jsonrpc2.Conn
+	conn    *clientConn // nil until connected
+}
+
+// clientConn is a connection and the calls that wait on it.
+type clientConn struct {
+	*jsonrpc2.Conn
+	calls   int  // under Client.mu
+	retired bool // takes no new calls; closed after its last one
 }
 
 // NewClient returns a client of the process at address; it connects on first use.
@@ -42,6 +49,7 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "cannot connect to "+c.address, "check that the process runs and is reachable")
 	}
+	defer c.release(conn)
 	var received envelope
 	err = conn.Call(ctx, method, envelope{Stamp: c.clock.Now(), Body: body}, &received)
 	if err != nil {
@@ -64,10 +72,12 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+// connect returns a connection that counts one more call.
+func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
+	if c.conn != nil && !closed(c.conn) {
+		c.conn.calls++
 		return c.conn, nil
 	}
 	socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
@@ -75,25 +85,50 @@
 		return nil, err
 	}
 	ignore := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
-	c.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(socket), ignore)
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(socket), ignore)
+	c.conn = &clientConn{Conn: conn, calls: 1}
 	return c.conn, nil
 }
 
-// failed retires the connection unless the other process answered with an error.
-func (c *Client) failed(conn *jsonrpc2.Conn, method string, err error) error {
+// closed reports whether the other process has closed the connection.
+func closed(conn *clientConn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// failed retires the connection unless the other process answered with an
+// error or the caller itself gave up.
+func (c *Client) failed(conn *clientConn, method string, err error) error {
 	var remote *jsonrpc2.Error
 	if errors.As(err, &remote) {
 		return decodeError(remote)
 	}
-	c.retire(conn)
+	if !errors.Is(err, context.Canceled) {
+		c.retire(conn)
+	}
 	return errs.Wrap(err, errs.Ambiguous, "no answer from "+c.address+" to "+method, "check the network between the VMs")
 }
 
-func (c *Client) retire(conn *jsonrpc2.Conn) {
+// retire makes new calls use a fresh connection. Calls that wait on this one,
+// such as a long poll beside a slow call, may still be answered.
+func (c *Client) retire(conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = conn.Close()
+	conn.retired = true
 	if c.conn == conn {
 		c.conn = nil
 	}
 }
+
+func (c *Client) release(conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.calls--
+	if conn.retired && conn.calls == 0 {
+		_ = conn.Close()
+	}
+}
