Agents find out by epidemic exchange which VMs run

Cause: a home was chosen among all VMs of the platform's list, which lags; a VM that crashed or was cut off stayed a home for as long as the list said.

Change: membership.View, a deterministic state machine, and its wiring in the agent. Each 500 ms three random peers are exchanged with, both ways, so that a one-way cut counts as unreachable. A missed exchange makes a suspicion that the VM itself denies; after 3 s without a denial it is out of the view. A VM that was paused or cut off cannot talk others out when it returns, because every view ages a suspicion itself and a VM with few answers passes none on. Incarnations come from the wall clock and rise above any that peers remember.

Ruled out: a table of heartbeat counters in each message. At 890 VMs it needs about 2,000 entries a second at each VM; with suspicions alone a message stays small however many VMs there are.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -25,6 +26,11 @@
 	PeerAddresses map[string]string `yaml:"peer_addresses" validate:"dive,hostname_port"`
 }
 
+// member returns this VM as its peers are told of it.
+func (s Settings) member() membership.Member {
+	return membership.Member{Name: s.VM, Zone: s.Zone, Address: s.Listen}
+}
+
 // Agent is the control plane of one VM.
 type Agent struct {
 	settings Settings
@@ -43,7 +49,7 @@
 	return &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
 		state: newState(), claims: newClaims(store),
-		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
+		peers: newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now),
 	}
 }
 
@@ -60,6 +66,7 @@
 	go a.handlers().Serve(ctx, listener)
 	go a.followDocument(ctx)
 	go a.followMembers(ctx)
+	go a.exchangeWithPeers(ctx)
 	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	a.log.Info("started", zap.String("listen", a.settings.Listen))
 	admin.SetReady(true)
@@ -72,6 +79,7 @@
 func (a *Agent) handlers() *wire.Handlers {
 	handlers := wire.NewHandlers(a.events.Clock())
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
+	wire.Handle(handlers, wire.MethodExchange, a.exchange)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
 	return handlers
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
@@ -15,31 +16,51 @@
 	self    string
 	routes  map[string]string // addresses that replace the list's, by VM name
 	clock   *timeline.Clock
+	now     func() time.Time
 	mu      sync.Mutex
-	members []membership.Member
-	clients map[string]*wire.Client // by address
+	view    *membership.View
+	serving []membership.Member    // of the last call of changed
+	clients map[string]*peerClient // by address
 }
 
-func newPeers(self string, routes map[string]string, clock *timeline.Clock) *peers {
-	return &peers{self: self, routes: routes, clock: clock, clients: map[string]*wire.Client{}}
+// peerClient is a client with the time of its last use.
+type peerClient struct {
+	client *wire.Client
+	used   time.Time
 }
 
-// update takes over the platform's list and reports whether it changed.
+// newPeers returns the peers of a VM whose agent has just started.
+func newPeers(self membership.Member, routes map[string]string, clock *timeline.Clock, now func() time.Time) *peers {
+	started := now()
+	self.Incarnation = uint64(started.UnixMilli())
+	return &peers{
+		self: self.Name, routes: routes, clock: clock, now: now,
+		view:    membership.NewView(self, uint64(started.UnixNano())),
+		clients: map[string]*peerClient{},
+	}
+}
+
+// update takes over the platform's list and reports whether the VMs in service changed.
 func (p *peers) update(vms []platform.VM) bool {
 	var members []membership.Member
 	for _, vm := range vms {
-		address := vm.Address
-		if route, ok := p.routes[vm.Name]; ok {
-			address = route
-		}
-		members = append(members, membership.Member{Name: vm.Name, Zone: vm.Zone, Address: address, Leaving: vm.Leaving})
+		members = append(members, membership.Member{Name: vm.Name, Zone: vm.Zone, Address: vm.Address, Leaving: vm.Leaving})
 	}
 	p.mu.Lock()
+	p.view.SetList(p.now(), members)
+	p.mu.Unlock()
+	return p.changed()
+}
+
+// changed reports whether the VMs in service are others than at its last call.
+func (p *peers) changed() bool {
+	serving := p.inService()
+	p.mu.Lock()
 	defer p.mu.Unlock()
-	if slices.Equal(members, p.members) {
+	if slices.Equal(serving, p.serving) {
 		return false
 	}
-	p.members = members
+	p.serving = serving
 	return true
 }
 
@@ -48,28 +69,103 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var serving []membership.Member
-	for _, member := range p.members {
+	for _, member := range p.view.Members(p.now()) {
 		if !member.Leaving {
-			serving = append(serving, member)
+			serving = append(serving, p.routed(member))
 		}
 	}
 	return serving
 }
 
+// routed returns the member with the address at which this VM reaches it.
+func (p *peers) routed(member membership.Member) membership.Member {
+	if route, ok := p.routes[member.Name]; ok {
+		member.Address = route
+	}
+	return member
+}
+
 // home returns the member responsible for key, and whether it is this VM.
 func (p *peers) home(key string) (home membership.Member, self, ok bool) {
 	home, ok = membership.Home(p.inService(), key)
 	return home, ok && home.Name == p.self, ok
 }
 
+// incarnation returns the incarnation of this agent.
+func (p *peers) incarnation() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Self().Incarnation
+}
+
+// gone reports whether the given start of a VM's agent is known to be over; see membership.View.Gone.
+func (p *peers) gone(name string, incarnation uint64, bound time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Gone(p.now(), name, incarnation, bound)
+}
+
+// avoid keeps a member out of this VM's view for a short time after a call to it failed.
+func (p *peers) avoid(member membership.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Avoid(p.now(), member.Name)
+}
+
 // client returns the client of a member's agent.
 func (p *peers) client(member membership.Member) *wire.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	client := p.clients[member.Address]
-	if client == nil {
-		client = wire.NewClient(member.Address, p.clock)
-		p.clients[member.Address] = client
+	known := p.clients[member.Address]
+	if known == nil {
+		known = &peerClient{client: wire.NewClient(member.Address, p.clock)}
+		p.clients[member.Address] = known
+	}
+	known.used = p.now()
+	return known.client
+}
+
+// idleClientTimeout bounds how long a connection to a peer is kept without use:
+// in a large fleet an agent exchanges messages with every other one.
+const idleClientTimeout = 15 * time.Second
+
+// closeIdle closes the clients that were not used lately.
+func (p *peers) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.clients {
+		if p.now().Sub(known.used) > idleClientTimeout {
+			known.client.Close()
+			delete(p.clients, address)
+		}
+	}
+}
+
+// round returns the exchanges to perform now.
+func (p *peers) round() []membership.Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	probes := p.view.Round(p.now())
+	for i := range probes {
+		probes[i].To = p.routed(probes[i].To)
 	}
-	return client
+	return probes
+}
+
+func (p *peers) receive(message membership.Message) membership.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Receive(p.now(), message)
+}
+
+func (p *peers) answered(probe membership.Probe, answer membership.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Answered(p.now(), probe, answer)
+}
+
+func (p *peers) missed(probe membership.Probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Missed(p.now(), probe)
 }
--- a/agent/peers_test.go
+++ b/agent/peers_test.go
@@ -4,12 +4,13 @@
 	"testing"
 	"time"
 
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
 )
 
 func TestPeersSkipLeavingHomesAndReplaceAddresses(t *testing.T) {
-	p := newPeers("vm-1", map[string]string{"vm-2": "127.0.0.9:7100"}, timeline.NewClock(time.Now))
+	p := newPeers(membership.Member{Name: "vm-1", Address: "127.0.0.1:7100"}, map[string]string{"vm-2": "127.0.0.9:7100"}, timeline.NewClock(time.Now), time.Now)
 	vms := []platform.VM{
 		{Name: "vm-1", Zone: "a", Address: "127.0.0.1:7100", Leaving: true},
 		{Name: "vm-2", Zone: "b", Address: "127.0.0.2:7100"},
@@ -25,4 +26,11 @@
 	if first != second {
 		t.Fatal("one client for each address")
 	}
+	p.avoid(home)
+	if _, _, ok := p.home("reader"); ok {
+		t.Fatal("an avoided member must not be a home")
+	}
+	if p.gone("vm-1", p.incarnation(), 0) || p.gone("vm-2", 0, time.Hour) {
+		t.Fatal("nobody is known to be gone")
+	}
 }
