Measure like with like: closed loops, direct twins, entitlements and make bench

Cause: the demo's added latency compared a mixed load with a direct answer of 2 kB, so uploads and 300 kB covers counted as added by the fleet (p99 +4.06 ms). Change: every mix is also sent to backend servers directly, same payload and loop in the same run; closed loops for throughput; settings are checked beyond single fields (an empty list of entries was accepted: required passes an empty list, min=1 does not); the report compares each client account with one bucket of its rate and burst. make bench measures one entry, its processor time a request and, on demand, a profile.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Everything a newcomer needs: make demo runs the fleet, make test passes the tests.
 GO ?= go
 
-.PHONY: build demo test lint fmt tidy proof
+.PHONY: build demo test bench fmt tidy proof
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -12,6 +12,10 @@
 test:
 	./scripts/test.sh
 
+# make bench measures one entry against the stand-in called directly.
+bench: build
+	./scripts/bench.sh
+
 fmt:
 	gofmt -w .
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
 	Admin    string `yaml:"admin" validate:"hostname_port"`
 	Platform string `yaml:"platform" validate:"http_url"`
+	Profile  bool   `yaml:"profile"` // serves runtime profiles on the admin address
 
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
@@ -50,6 +51,9 @@
 // Run serves until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	admin := daemon.NewAdmin(a.events)
+	if a.settings.Profile {
+		admin.EnableProfiling()
+	}
 	if err := admin.Start(ctx, a.settings.Admin); err != nil {
 		return err
 	}
--- a/cmd/lacewing-load/main.go
+++ b/cmd/lacewing-load/main.go
@@ -35,8 +35,10 @@
 	if err := daemon.LoadYAML(flags.Settings, &settings); err != nil {
 		return err
 	}
+	if err := settings.Validate(); err != nil {
+		return err
+	}
 	report := load.Run(ctx, settings)
-	report.Finish()
 	report.WriteText(os.Stdout)
 	if err := writeJSON(report, flags.JSON); err != nil {
 		return err
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,13 @@
 	return admin
 }
 
+// EnableProfiling serves Go's runtime profiles under /debug/pprof.
+func (a *Admin) EnableProfiling() {
+	a.router.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	a.router.GET("/debug/pprof/trace", echo.WrapHandler(http.HandlerFunc(pprof.Trace)))
+	a.router.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+}
+
 // Router returns the router, for endpoints of a single program.
 func (a *Admin) Router() *echo.Echo { return a.router }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	Listen     string          `yaml:"listen" validate:"hostname_port"` // callers
 	Admin      string          `yaml:"admin" validate:"hostname_port"`
 	Agent      string          `yaml:"agent" validate:"hostname_port"`
+	Profile    bool            `yaml:"profile"`     // serves runtime profiles on the admin address
 	DrainDelay daemon.Duration `yaml:"drain_delay"` // between not ready and the last new connection
 }
 
@@ -62,6 +63,9 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if e.settings.Profile {
+		e.admin.EnableProfiling()
+	}
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
--- a/load/call.go
+++ b/load/call.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -143,3 +144,14 @@
 	sum := sha256.Sum256(body)
 	return answer.Header.Get(digestHeader) == "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":"
 }
+
+// reasonOf returns the reason in a refusal's problem document.
+func reasonOf(body []byte) string {
+	var problem struct {
+		Reason string `json:"reason"`
+	}
+	if json.Unmarshal(body, &problem) != nil {
+		return "unreadable"
+	}
+	return problem.Reason
+}
--- a/load/report.go
+++ b/load/report.go
@@ -2,81 +2,65 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
-)
-
-const (
-	highestLatency   = int64(time.Minute / time.Microsecond) // microseconds
-	latencyPrecision = 3                                     // significant digits
 )
 
-// Latency summarises a histogram, in milliseconds.
-type Latency struct {
-	P50 float64 `json:"p50_ms"`
-	P99 float64 `json:"p99_ms"`
-	Max float64 `json:"max_ms"`
+// Report is the result of an experiment.
+type Report struct {
+	Seed       uint64          `json:"seed"`
+	Seconds    float64         `json:"seconds"`
+	Mixes      []MixReport     `json:"mixes"`
+	Accounts   []AccountReport `json:"accounts"`   // of Settings.Accounts, worst served first
+	Duplicates map[string]int  `json:"duplicates"` // second sends of protected requests, by verdict and outcome
+	mu         sync.Mutex
+	samples    [][ways][]sample // by mix
 }
 
-// AccountReport counts the requests of one client account.
-type AccountReport struct {
-	Sent     int            `json:"sent"`
-	Verdicts map[string]int `json:"verdicts"`
-	Refusals map[string]int `json:"refusals"` // by outcome and reason
-	Latency  Latency        `json:"latency"`  // of whole answers
-	latency  *hdrhistogram.Histogram
+// MixReport is what became of one mix.
+type MixReport struct {
+	Name    string    `json:"name"`
+	Through WayReport `json:"through"`
+	Direct  WayReport `json:"direct"`          // zero without Settings.Direct
+	Added   *Added    `json:"added,omitempty"` // nil unless both ways have whole answers
 }
 
-// Report is the result of an experiment.
-type Report struct {
-	Seed       uint64                    `json:"seed"`
-	Seconds    float64                   `json:"seconds"`
-	Accounts   map[string]*AccountReport `json:"accounts"`
-	Duplicates map[string]int            `json:"duplicates"` // second sends of protected requests, by verdict and outcome
-	Whole      Latency                   `json:"whole"`
-	Direct     Latency                   `json:"direct"`
-	mu         sync.Mutex
-	whole      *hdrhistogram.Histogram
-	direct     *hdrhistogram.Histogram
+// WayReport is what became of one mix sent one way.
+type WayReport struct {
+	Sent       int            `json:"sent"`
+	Verdicts   map[string]int `json:"verdicts"`
+	Refusals   map[string]int `json:"refusals"`   // by outcome and reason
+	Throughput float64        `json:"throughput"` // whole answers per second of sending
+	Latency    Latency        `json:"latency"`    // of whole answers
 }
 
-func newReport(settings Settings) *Report {
-	report := &Report{Seed: settings.Seed, Accounts: map[string]*AccountReport{}, Duplicates: map[string]int{}, whole: newHistogram(), direct: newHistogram()}
-	for _, mix := range settings.Mixes {
-		report.Accounts[nameOf(&mix)] = &AccountReport{Verdicts: map[string]int{}, Refusals: map[string]int{}, latency: newHistogram()}
-	}
-	return report
+// Added compares the fleet with the same requests sent directly.
+type Added struct {
+	P50             float64 `json:"p50_ms"`
+	P99             float64 `json:"p99_ms"`
+	P50Ratio        float64 `json:"p50_ratio"`
+	P99Ratio        float64 `json:"p99_ratio"`
+	ThroughputRatio float64 `json:"throughput_ratio"` // through over direct; 0 for open loops
 }
 
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, highestLatency, latencyPrecision)
+// sample is one request and its end.
+type sample struct {
+	planned time.Duration // from the start of the experiment
+	took    time.Duration
+	end     result
 }
 
-func nameOf(mix *Mix) string {
-	if mix.Account == "" {
-		return "(open)"
-	}
-	return mix.Account
+func newReport(settings Settings) *Report {
+	return &Report{Seed: settings.Seed, Duplicates: map[string]int{}, samples: make([][ways][]sample, len(settings.Mixes))}
 }
 
-func (r *Report) add(mix *Mix, end result, took time.Duration) {
+func (r *Report) add(mix int, by way, taken sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	account := r.Accounts[nameOf(mix)]
-	account.Sent++
-	account.Verdicts[string(end.verdict)]++
-	switch end.verdict {
-	case verdictWhole:
-		record(account.latency, took)
-		record(r.whole, took)
-	case verdictRefused:
-		account.Refusals[end.outcome+" "+end.detail]++
-	}
+	r.samples[mix][by] = append(r.samples[mix][by], taken)
 }
 
 func (r *Report) addDuplicate(end result) {
@@ -85,50 +69,78 @@
 	r.Duplicates[string(end.verdict)+" "+end.outcome]++
 }
 
-func (r *Report) addDirect(end result, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if end.verdict == verdictWhole {
-		record(r.direct, took)
+// finish computes the summaries.
+func (r *Report) finish(settings Settings) {
+	for i := range settings.Mixes {
+		r.Mixes = append(r.Mixes, r.mixReport(settings, i))
 	}
+	r.Accounts = accountReports(settings, r.samples)
 }
 
-func record(histogram *hdrhistogram.Histogram, took time.Duration) {
-	_ = histogram.RecordValue(min(took.Microseconds(), highestLatency))
+func (r *Report) mixReport(settings Settings, index int) MixReport {
+	mix := &settings.Mixes[index]
+	sending := settings.Duration.Std()
+	closed := mix.Workers > 0
+	if closed && len(settings.Direct) > 0 {
+		sending /= time.Duration(ways)
+	}
+	report := MixReport{
+		Name:    nameOf(mix),
+		Through: newWayReport(r.samples[index][through], sending),
+		Direct:  newWayReport(r.samples[index][direct], sending),
+	}
+	report.Added = compare(report.Through, report.Direct, closed)
+	return report
 }
 
-// Finish computes the summaries.
-func (r *Report) Finish() {
-	r.Whole, r.Direct = summarise(r.whole), summarise(r.direct)
-	for _, account := range r.Accounts {
-		account.Latency = summarise(account.latency)
+func newWayReport(samples []sample, sending time.Duration) WayReport {
+	report := WayReport{Sent: len(samples), Verdicts: map[string]int{}, Refusals: map[string]int{}}
+	latency := newHistogram()
+	for _, taken := range samples {
+		report.Verdicts[string(taken.end.verdict)]++
+		switch taken.end.verdict {
+		case verdictWhole:
+			record(latency, taken.took)
+		case verdictRefused:
+			report.Refusals[taken.end.outcome+" "+taken.end.detail]++
+		}
 	}
+	report.Throughput = float64(report.Verdicts[string(verdictWhole)]) / sending.Seconds()
+	report.Latency = summarise(latency)
+	return report
 }
 
-func summarise(histogram *hdrhistogram.Histogram) Latency {
-	milliseconds := func(us int64) float64 { return float64(us) / 1000 }
-	return Latency{
-		P50: milliseconds(histogram.ValueAtQuantile(50)),
-		P99: milliseconds(histogram.ValueAtQuantile(99)),
-		Max: milliseconds(histogram.Max()),
+// compare returns nil unless both ways have whole answers.
+func compare(fleet, alone WayReport, closed bool) *Added {
+	if alone.Throughput == 0 || fleet.Throughput == 0 {
+		return nil
+	}
+	added := &Added{
+		P50:      fleet.Latency.P50 - alone.Latency.P50,
+		P99:      fleet.Latency.P99 - alone.Latency.P99,
+		P50Ratio: fleet.Latency.P50 / alone.Latency.P50,
+		P99Ratio: fleet.Latency.P99 / alone.Latency.P99,
 	}
+	if closed {
+		added.ThroughputRatio = fleet.Throughput / alone.Throughput
+	}
+	return added
+}
+
+// Correct reports whether every answer through the fleet was whole and the
+// caller's own, or an honest refusal, and at least one was whole.
+func (r *Report) Correct() bool {
+	return r.count(verdictWrong) == 0 && r.count(verdictBroken) == 0 && r.count(verdictWhole) > 0
 }
 
-// Count returns the number of requests with the verdict, duplicates left out.
-func (r *Report) Count(wanted string) int {
+func (r *Report) count(wanted verdict) int {
 	total := 0
-	for _, account := range r.Accounts {
-		total += account.Verdicts[wanted]
+	for _, mix := range r.Mixes {
+		total += mix.Through.Verdicts[string(wanted)]
 	}
 	return total
 }
 
-// Correct reports whether every answer was whole and the caller's own, or an
-// honest refusal.
-func (r *Report) Correct() bool {
-	return r.Count(string(verdictWrong)) == 0 && r.Count(string(verdictBroken)) == 0 && r.Count(string(verdictWhole)) > 0
-}
-
 // WriteJSON writes the report as JSON.
 func (r *Report) WriteJSON(w io.Writer) error {
 	encoder := json.NewEncoder(w)
@@ -136,38 +148,7 @@
 	return encoder.Encode(r)
 }
 
-// WriteText writes the report for people.
-func (r *Report) WriteText(w io.Writer) {
-	fmt.Fprintf(w, "seed %d, %.1f s\n", r.Seed, r.Seconds)
-	for _, name := range sortedKeys(r.Accounts) {
-		account := r.Accounts[name]
-		fmt.Fprintf(w, "  %-14s sent %5d  %v  refusals %v  p50 %.2f ms  p99 %.2f ms\n",
-			name, account.Sent, account.Verdicts, account.Refusals, account.Latency.P50, account.Latency.P99)
-	}
-	fmt.Fprintf(w, "  duplicates of protected requests: %v\n", r.Duplicates)
-	fmt.Fprintf(w, "  through the fleet: p50 %.2f ms, p99 %.2f ms, max %.2f ms\n", r.Whole.P50, r.Whole.P99, r.Whole.Max)
-	if r.direct.TotalCount() > 0 {
-		fmt.Fprintf(w, "  direct:            p50 %.2f ms, p99 %.2f ms, max %.2f ms\n", r.Direct.P50, r.Direct.P99, r.Direct.Max)
-		fmt.Fprintf(w, "  added:             p50 %.2f ms, p99 %.2f ms\n", r.Whole.P50-r.Direct.P50, r.Whole.P99-r.Direct.P99)
-	}
-}
-
+// sortedKeys returns the keys of m in order.
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
-// reasonOf returns the reason in a refusal's problem document.
-func reasonOf(body []byte) string {
-	var problem struct {
-		Reason string `json:"reason"`
-	}
-	if json.Unmarshal(body, &problem) != nil {
-		return "unreadable"
-	}
-	return problem.Reason
+	return slices.Sorted(maps.Keys(m))
 }
--- a/load/run.go
+++ b/load/run.go
@@ -10,30 +10,44 @@
 
 const (
 	requestTimeout = 15 * time.Second
-	idleConns      = 256
+	idleConns      = 1024
 )
 
 // Run performs the experiment and returns its report.
 func Run(ctx context.Context, settings Settings) *Report {
 	sender := newSender(settings)
 	var running sync.WaitGroup
-	start := time.Now()
 	for i := range settings.Mixes {
-		arrivals := rand.New(rand.NewPCG(settings.Seed, uint64(i)))
-		running.Go(func() { sender.sendMix(ctx, &settings.Mixes[i], arrivals, start) })
-	}
-	if settings.Direct != "" {
-		running.Go(func() { sender.sendDirect(ctx, start) })
+		mix := &settings.Mixes[i]
+		if mix.Workers > 0 {
+			running.Go(func() { sender.sendClosed(ctx, i) })
+			continue
+		}
+		running.Go(func() { sender.sendOpen(ctx, i, through) })
+		if len(settings.Direct) > 0 {
+			running.Go(func() { sender.sendOpen(ctx, i, direct) })
+		}
 	}
 	running.Wait()
-	sender.report.Seconds = time.Since(start).Seconds()
+	sender.report.Seconds = time.Since(sender.start).Seconds()
+	sender.report.finish(settings)
 	return sender.report
 }
 
+// way is how a request gets to a backend server.
+type way int
+
+const (
+	through way = iota // through the fleet
+	direct             // to the backend server itself
+	ways
+)
+
 type sender struct {
 	settings Settings
 	client   *http.Client
 	report   *Report
+	start    time.Time
 }
 
 func newSender(settings Settings) *sender {
@@ -42,26 +56,42 @@
 		settings: settings,
 		client:   &http.Client{Transport: transport, Timeout: requestTimeout},
 		report:   newReport(settings),
+		start:    time.Now(),
+	}
+}
+
+// address returns where the next request goes.
+func (s *sender) address(by way, random *rand.Rand) string {
+	addresses := s.settings.Entries
+	if by == direct {
+		addresses = s.settings.Direct
 	}
+	return addresses[random.IntN(len(addresses))]
 }
 
-// sendMix sends with exponentially distributed gaps, whatever the answers do.
-func (s *sender) sendMix(ctx context.Context, mix *Mix, arrivals *rand.Rand, start time.Time) {
+func (s *sender) random(stream int) *rand.Rand {
+	return rand.New(rand.NewPCG(s.settings.Seed, uint64(stream)))
+}
+
+// sendOpen sends with exponentially distributed gaps, whatever the answers do.
+func (s *sender) sendOpen(ctx context.Context, index int, by way) {
 	var running sync.WaitGroup
 	defer running.Wait()
+	mix := &s.settings.Mixes[index]
+	random := s.random(index*int(ways) + int(by))
 	offset := time.Duration(0)
 	for {
-		offset += time.Duration(arrivals.ExpFloat64() / mix.Rate * float64(time.Second))
-		if offset > s.settings.Duration.Std() || !sleepUntil(ctx, start.Add(offset)) {
+		offset += time.Duration(random.ExpFloat64() / mix.Rate * float64(time.Second))
+		planned := s.start.Add(offset)
+		if offset > s.settings.Duration.Std() || !sleepUntil(ctx, planned) {
 			return
 		}
-		entry := s.settings.Entries[arrivals.IntN(len(s.settings.Entries))]
-		call := newCall(mix, entry, arrivals)
-		twice := mix.Protected && arrivals.Float64() < mix.Duplicate
-		second := s.settings.Entries[arrivals.IntN(len(s.settings.Entries))]
-		planned := start.Add(offset)
+		call := newCall(mix, s.address(by, random), random)
+		twice := by == through && mix.Protected && random.Float64() < mix.Duplicate
+		second := s.address(by, random)
 		running.Go(func() {
-			s.report.add(mix, s.perform(ctx, call), time.Since(planned))
+			end := s.perform(ctx, call)
+			s.report.add(index, by, sample{planned: offset, took: time.Since(planned), end: end})
 			if twice {
 				s.report.addDuplicate(s.perform(ctx, call.through(second)))
 			}
@@ -69,19 +99,37 @@
 	}
 }
 
-// sendDirect calls the backend server stand-in without the fleet, for comparison.
-func (s *sender) sendDirect(ctx context.Context, start time.Time) {
-	mix := &Mix{Method: http.MethodGet, Path: "/direct", Size: s.settings.Mixes[0].Size}
-	arrivals := rand.New(rand.NewPCG(s.settings.Seed, uint64(len(s.settings.Mixes))))
-	for time.Since(start) < s.settings.Duration.Std() && ctx.Err() == nil {
-		planned := time.Now()
-		result := s.perform(ctx, newCall(mix, s.settings.Direct, arrivals))
-		s.report.addDirect(result, time.Since(planned))
-		time.Sleep(directPause)
+// turnLength is how long a closed loop goes one way before it goes the other.
+const turnLength = 500 * time.Millisecond
+
+// sendClosed runs the workers of a closed loop until the experiment ends.
+func (s *sender) sendClosed(ctx context.Context, index int) {
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	mix := &s.settings.Mixes[index]
+	for worker := range mix.Workers {
+		random := s.random(len(s.settings.Mixes)*int(ways) + index*idleConns + worker)
+		workers.Go(func() {
+			for started := time.Now(); s.sending(ctx, started); started = time.Now() {
+				by := s.turn(started)
+				end := s.perform(ctx, newCall(mix, s.address(by, random), random))
+				s.report.add(index, by, sample{planned: started.Sub(s.start), took: time.Since(started), end: end})
+			}
+		})
 	}
 }
 
-const directPause = 5 * time.Millisecond
+func (s *sender) sending(ctx context.Context, now time.Time) bool {
+	return now.Sub(s.start) < s.settings.Duration.Std() && ctx.Err() == nil
+}
+
+// turn says which way the closed loops go now: first direct, then through, and so on.
+func (s *sender) turn(now time.Time) way {
+	if len(s.settings.Direct) == 0 || int(now.Sub(s.start)/turnLength)%int(ways) != 0 {
+		return through
+	}
+	return direct
+}
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	timer := time.NewTimer(time.Until(at))
--- /dev/null
+++ b/load/text.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "seed %d, %.1f s\n", r.Seed, r.Seconds)
+	for _, mix := range r.Mixes {
+		writeMix(w, mix)
+	}
+	if len(r.Duplicates) > 0 {
+		fmt.Fprintf(w, "  duplicates of protected requests: %s\n", counts(r.Duplicates))
+	}
+	for i, account := range r.Accounts {
+		if i == 0 {
+			fmt.Fprintln(w, "  client accounts, worst served first")
+		}
+		fmt.Fprintf(w, "    %-12s got %5.1f%% of what it was entitled to: sent %d, entitled to %d, served %d, refused within its rate %d\n",
+			account.Name, 100*account.Share, account.Sent, account.Entitled, account.Served, account.RefusedWithinRate)
+	}
+}
+
+func writeMix(w io.Writer, mix MixReport) {
+	fmt.Fprintf(w, "  %s\n", mix.Name)
+	writeWay(w, "through", mix.Through)
+	if mix.Direct.Sent == 0 {
+		return
+	}
+	writeWay(w, "direct", mix.Direct)
+	if mix.Added == nil {
+		return
+	}
+	fmt.Fprintf(w, "    %-8s p50 %+.2f ms (%.1f times), p99 %+.2f ms (%.1f times)",
+		"added", mix.Added.P50, mix.Added.P50Ratio, mix.Added.P99, mix.Added.P99Ratio)
+	if mix.Added.ThroughputRatio > 0 {
+		fmt.Fprintf(w, ", throughput %.2f of direct", mix.Added.ThroughputRatio)
+	}
+	fmt.Fprintln(w)
+}
+
+func writeWay(w io.Writer, name string, way WayReport) {
+	fmt.Fprintf(w, "    %-8s sent %d: %s; %.1f/s, p50 %.2f ms, p99 %.2f ms, max %.2f ms\n",
+		name, way.Sent, counts(way.Verdicts), way.Throughput, way.Latency.P50, way.Latency.P99, way.Latency.Max)
+	if len(way.Refusals) > 0 {
+		fmt.Fprintf(w, "             refusals: %s\n", counts(way.Refusals))
+	}
+}
+
+// counts writes a map as "name N, name N", ordered by name.
+func counts(m map[string]int) string {
+	var parts []string
+	for _, name := range sortedKeys(m) {
+		parts = append(parts, fmt.Sprintf("%s %d", strings.TrimSpace(name), m[name]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,25 +9,8 @@
 seconds=${LACEWING_SECONDS:-10}
 run=run/demo
 rm -rf "$run" && mkdir -p "$run"
-pids=()
-
-start() { # start NAME PROGRAM SETTINGS
-  "bin/$2" "$3" 2>"$run/$1.log" &
-  pids+=($!)
-}
-stop_all() {
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill -TERM "${pids[i]}" 2>/dev/null || true; done
-  wait || true
-}
+source scripts/lib.sh
 trap stop_all EXIT
-await() { # await URL
-  for _ in $(seq 100); do
-    curl --silent --fail --max-time 1 --output /dev/null "$1" && return
-    sleep 0.1
-  done
-  echo "no answer from $1; see $run/*.log" >&2
-  exit 1
-}
 
 platform=$net.0.1:7000
 zones=(jeonju gwangju mokpo)
@@ -82,9 +65,14 @@
   echo "entries:"
   for i in $(seq "$vms"); do echo "  - $net.100.$i:8000"; done
   cat <<YAML
-direct: $net.1.1:9000
+direct: ["$net.1.1:9000"]
 seed: 20261204
 duration: ${seconds}s
+accounts:
+  - {name: reader-web, rate: 120, burst: 60}
+  - {name: bookshops, rate: 60, burst: 40}
+  - {name: poets, rate: 10, burst: 10}
+  - {name: foremen, rate: 120, burst: 60}
 mixes:
   - {account: reader-web, key: $reader, method: GET, path: /shelf/today, rate: 40, size: 2000}
   - {account: bookshops, key: $shops, method: POST, path: /renewals, rate: 8, upload: 300, protected: true, duplicate: 0.5}
