--- a/once/record.go
+++ b/once/record.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingmount.dev/errs"
@@ -18,8 +20,6 @@
 
 // Record is the stored form of one claim.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	ID       ID
 	Stamp    int64 // of the key, milliseconds since the Unix epoch
 	Digest   Short // of the request's method, path and body
@@ -31,8 +31,6 @@
 
 // logEntry is the value of one log position.
 type logEntry struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Position uint64
 	Owner    string // the agent that wrote it
 	Floor    int64  // keys stamped before it are never granted again, milliseconds
@@ -41,19 +39,20 @@
 
 // segment is the value of a key that holds the records of many positions.
 type segment struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-
 	Through uint64 // last position that it holds
 	Newest  int64  // highest Stamp
 	Records []Record
 }
 
 func encode(value any) []byte {
-	content, err := msgpack.Marshal(value)
-	if err != nil {
+	var content bytes.Buffer
+	encoder := msgpack.NewEncoder(&content)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
 		panic(err) // structs of numbers, strings and bytes always encode
 	}
-	return content
+	return content.Bytes()
 }
 
 func decode(key string, content []byte, value any) error {
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -210,7 +210,6 @@
 	id       ID
 	stamp    time.Time
 	runs     int
-	attempts int
 	answered bool
 }
 
