Scenarios of protected requests under failure; ends are written at once when writes are ample

Change: an end is written at once while half of the bucket's write tokens are left, and with the next claims otherwise. The agent shows its buckets under /claims.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,6 +61,7 @@
 	if a.settings.Profile {
 		admin.EnableProfiling()
 	}
+	admin.Router().GET("/claims", a.claims.serveStatus)
 	if err := admin.Start(ctx, a.settings.Admin); err != nil {
 		return err
 	}
--- a/agent/bucket.go
+++ b/agent/bucket.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// BucketStatus describes one bucket of claims at this agent.
+type BucketStatus struct {
+	Bucket    string    `json:"bucket"`
+	Role      once.Role `json:"role"`
+	Claims    int       `json:"claims"`
+	Unwritten int       `json:"unwritten"` // claims and ends that are not in the store yet
+}
+
+func (b *claimBucket) status(name string) BucketStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return BucketStatus{Bucket: name, Role: b.core.Role(), Claims: b.core.Claims(), Unwritten: b.core.Unwritten()}
+}
+
 func (b *claimBucket) flushed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/errs"
@@ -83,6 +85,15 @@
 	c.leave(ctx)
 }
 
+// serveStatus answers GET /claims of the admin interface.
+func (c *claims) serveStatus(request echo.Context) error {
+	list := make([]BucketStatus, 0, len(c.buckets))
+	for i, bucket := range c.buckets {
+		list = append(list, bucket.status(bucketName(i)))
+	}
+	return request.JSON(http.StatusOK, list)
+}
+
 // leave writes the ends that are still in memory.
 func (c *claims) leave(ctx context.Context) {
 	var all sync.WaitGroup
--- a/once/bucket.go
+++ b/once/bucket.go
@@ -13,7 +13,7 @@
 	BatchBytes    int           // of records in one position
 	WriteRate     float64       // writes per second
 	WriteBurst    float64       // writes at once when idle
-	SettleDelay   time.Duration // longest wait of an end for a claim to be written with
+	SettleDelay   time.Duration // longest wait of an end for a claim to be written with, when writes are short
 	RetryDelay    time.Duration // after a failed call of the store
 	MaxClaims     int           // in memory
 	MaxKeptAnswer int           // bytes; a longer answer is not kept
@@ -95,6 +95,9 @@
 // Fault returns why the bucket's log could not be read, or nil.
 func (b *Bucket) Fault() error { return b.fault }
 
+// Unwritten returns the number of claims and ends that the log does not hold yet.
+func (b *Bucket) Unwritten() int { return len(b.ledger.dirty) + len(b.batch) }
+
 // Claims returns the number of claims in memory.
 func (b *Bucket) Claims() int { return len(b.ledger.records) }
 
@@ -233,7 +236,7 @@
 func (b *Bucket) chooseIdle(now time.Time) (*Op, time.Time) {
 	floorDue := time.UnixMilli(b.ledger.floor).Add(b.settings.Window.Past * (floorSteps + 1) / floorSteps)
 	switch {
-	case len(b.ledger.dirty) > 0 && (b.leaving || !now.Before(b.settleBy)):
+	case len(b.ledger.dirty) > 0 && (b.leaving || b.pace.ample(now) || !now.Before(b.settleBy)):
 		return b.log.entry(), time.Time{}
 	case len(b.ledger.dirty) > 0:
 		return nil, b.settleBy
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -12,6 +12,9 @@
 //	await [!] URL [RE]   poll until the answer is 200 and its body matches RE
 //	request METHOD URL [HEADER:VALUE ...] [-body TEXT]
 //	                     print status, headers and body to stdout
+//	background request ...
+//	                     send a request and do not wait for its answer
+//	retry RE request ... send a request until the printed answer matches RE
 //	put URL BODY         PUT JSON, for the control interfaces of stand-ins
 //	grant VAR ACCOUNT    grant a client key and keep it in $VAR
 //	uuid VAR ...         keep a new UUIDv7, as an Idempotency-Key, in each $VAR
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -50,6 +50,8 @@
 			"put":        cmdPut,
 			"grant":      cmdGrant,
 			"uuid":       cmdUUID,
+			"background": cmdBackground,
+			"retry":      cmdRetry,
 			"ctl":        cmdCtl,
 			"expand":     cmdExpand,
 		},
