--- a/wire/client.go
+++ b/wire/client.go
@@ -22,7 +22,14 @@
 	address string
 	clock   *timeline.Clock
 	mu      sync.Mutex
+	link    *link // for new calls; nil until the first one
+}
+
+// link is a connection with the number of calls that wait for an answer on it.
+type link struct {
 	conn    *jsonrpc2.Conn
+	calls   int
+	retired bool // no new calls; closed after the last one
 }
 
 // NewClient returns a client of the process at address; it connects on first use.
@@ -32,21 +39,23 @@
 
 // Call sends question and decodes the answer into answer. It fails with kind
 // Unavailable if no byte was sent, Ambiguous if the answer was lost, or the
-// kind that the other process gave.
+// kind that the other process gave. It ends at most writeTimeout after ctx.
 func (c *Client) Call(ctx context.Context, method string, question, answer any) error {
 	body, err := json.Marshal(question)
 	if err != nil {
 		return errs.Wrap(err, errs.Invalid, "cannot encode "+method, "report this as a defect")
 	}
-	conn, err := c.connect(ctx)
+	used, err := c.acquire(ctx)
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "cannot connect to "+c.address, "check that the process runs and is reachable")
 	}
+	defer c.release(used)
 	var received envelope
-	err = conn.Call(ctx, method, envelope{Stamp: c.clock.Now(), Body: body}, &received)
+	err = used.conn.Call(ctx, method, envelope{Stamp: c.clock.Now(), Body: body}, &received)
 	if err != nil {
-		return c.failed(conn, method, err)
+		return c.failed(used, method, err)
 	}
+	sentMethods.of(method).count(body, received.Body)
 	c.clock.Observe(received.Stamp)
 	if answer == nil {
 		return nil
@@ -58,42 +67,60 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
+	if c.link != nil {
+		_ = c.link.conn.Close()
+		c.link = nil
 	}
 }
 
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+// acquire returns the link for a new call, connecting if there is none.
+func (c *Client) acquire(ctx context.Context) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		return c.conn, nil
+	if c.link == nil {
+		socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			return nil, err
+		}
+		c.link = &link{conn: newConn(context.Background(), socket, ignoreCalls)}
 	}
-	socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, err
+	c.link.calls++
+	return c.link, nil
+}
+
+// ignoreCalls answers nothing: calls only go from clients to servers.
+var ignoreCalls = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, nil
+})
+
+func (c *Client) release(used *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used.calls--
+	if used.retired && used.calls == 0 {
+		_ = used.conn.Close()
 	}
-	ignore := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
-	c.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(socket), ignore)
-	return c.conn, nil
 }
 
-// failed retires the connection unless the other process answered with an error.
-func (c *Client) failed(conn *jsonrpc2.Conn, method string, err error) error {
+// failed retires the connection unless the other process answered with an error
+// or the call was given up before its deadline.
+func (c *Client) failed(used *link, method string, err error) error {
 	var remote *jsonrpc2.Error
 	if errors.As(err, &remote) {
 		return decodeError(remote)
 	}
-	c.retire(conn)
+	if !errors.Is(err, context.Canceled) {
+		c.retire(used)
+	}
 	return errs.Wrap(err, errs.Ambiguous, "no answer from "+c.address+" to "+method, "check the network between the VMs")
 }
 
-func (c *Client) retire(conn *jsonrpc2.Conn) {
+// retire keeps new calls off the link. Other calls on it may still get their answer.
+func (c *Client) retire(used *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = conn.Close()
-	if c.conn == conn {
-		c.conn = nil
+	used.retired = true
+	if c.link == used {
+		c.link = nil
 	}
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -41,16 +41,20 @@
 // Serve accepts connections until ctx ends.
 func (h *Handlers) Serve(ctx context.Context, listener net.Listener) {
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(h.dispatch))
+	handler := h.handler()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), handler)
+		newConn(ctx, conn, handler)
 	}
 }
 
+func (h *Handlers) handler() jsonrpc2.Handler {
+	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(h.dispatch))
+}
+
 func (h *Handlers) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
 	answer, ok := h.methods[request.Method]
 	if !ok {
@@ -71,5 +75,6 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
+	servedMethods.of(request.Method).count(received.Body, body)
 	return envelope{Stamp: h.clock.Now(), Body: body}, nil
 }
