--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -1,46 +1,181 @@
-// Package limit decides whether a request of a client account is within the
-// account's rate and burst. It is deterministic: time is passed in.
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Bucket is a token bucket. The zero value is empty and never fills.
-type Bucket struct {
-	rate  float64 // tokens per second
-	burst float64 // most tokens held
-	level float64
-	last  time.Time
+// bucket is a home's token bucket of one account. Its size and rate follow the
+// rights that are lent to the home.
+type bucket struct {
+	quota       Quota
+	level       float64 // tokens
+	filledTo    float64 // integral of the group's weight at the last fill, in seconds
+	outstanding int     // of all sessions
+	sessions    map[sessionKey]*session
+	nextExpiry  time.Time // not after the first expiry of a session
+	short       int       // sessions whose last ask was not met
 }
 
-// NewBucket returns a full bucket.
-func NewBucket(rate, burst float64, now time.Time) *Bucket {
-	return &Bucket{rate: rate, burst: burst, level: burst, last: now}
+// sessionKey names the cache of one entry behind one agent.
+type sessionKey struct {
+	from VM
+	id   uint64
 }
 
-// Resize changes rate and burst; tokens above the new burst are dropped.
-func (b *Bucket) Resize(rate, burst float64, now time.Time) {
-	b.fill(now)
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level, burst)
+// session is what a home knows about one cache.
+type session struct {
+	seq         uint64
+	outstanding int
+	spent       uint64
+	short       bool // the last ask was not met
+	expires     time.Time
 }
 
-// Take removes one token. If there is none, it returns how long until there is one.
-func (b *Bucket) Take(now time.Time) (ok bool, wait time.Duration) {
-	b.fill(now)
-	if b.level >= 1 {
-		b.level--
-		return true, 0
+// fillMargin keeps the rate below the account's although the home's clock may run
+// up to 0.1% fast; clocks are slewed by at most half of that.
+const fillMargin = 0.999
+
+// capacity is the largest stock that rights of the given weight allow.
+func (q Quota) capacity(weight float64) float64 {
+	size := weight * q.Burst
+	if size >= 1 {
+		return size
+	}
+	if weight > 0.5 && q.Burst >= 1 {
+		return 1
+	}
+	return 0
+}
+
+// fill adds what the rights have earned since the last fill.
+func (b *bucket) fill(integral, weight float64) {
+	b.level += b.quota.Rate * fillMargin * (integral - b.filledTo)
+	b.filledTo = integral
+	b.clip(weight)
+}
+
+// clip cuts the level so that the stock is within the capacity.
+func (b *bucket) clip(weight float64) {
+	room := b.quota.capacity(weight) - float64(b.outstanding)
+	b.level = max(0, min(b.level, room))
+}
+
+// expire forgets the sessions whose tokens can no longer be spent. The bucket
+// must be filled before, because an expired token leaves room from now on only.
+func (b *bucket) expire(now time.Time) {
+	if len(b.sessions) == 0 || now.Before(b.nextExpiry) {
+		return
+	}
+	b.nextExpiry = time.Time{}
+	for key, s := range b.sessions {
+		if !now.Before(s.expires) {
+			b.outstanding -= s.outstanding
+			b.setShort(s, false)
+			delete(b.sessions, key)
+			continue
+		}
+		b.noteExpiry(s.expires)
+	}
+}
+
+func (b *bucket) noteExpiry(expires time.Time) {
+	if b.nextExpiry.IsZero() || expires.Before(b.nextExpiry) {
+		b.nextExpiry = expires
+	}
+}
+
+// session returns the session of an ask, or nil if the ask is not the newest.
+func (b *bucket) session(key sessionKey, seq uint64) *session {
+	s := b.sessions[key]
+	if s == nil {
+		s = &session{}
+		b.sessions[key] = s
+	}
+	if seq <= s.seq {
+		return nil
+	}
+	s.seq = seq
+	return s
+}
+
+// settle takes over the cache's report. Tokens that are neither held nor spent
+// were lost or given back, and return to the level.
+func (b *bucket) settle(s *session, ask Ask) {
+	held := min(ask.Held, s.outstanding)
+	spent := 0
+	if ask.Spent > s.spent {
+		spent = int(min(ask.Spent-s.spent, uint64(s.outstanding-held)))
+		s.spent = ask.Spent
+	}
+	b.level += float64(s.outstanding - held - spent)
+	b.outstanding -= s.outstanding - held
+	s.outstanding = held
+}
+
+func (b *bucket) setShort(s *session, short bool) {
+	if s.short == short {
+		return
+	}
+	s.short = short
+	if short {
+		b.short++
+	} else {
+		b.short--
+	}
+}
+
+const (
+	// spareShare is the part of the capacity that is granted to waiting requests only.
+	spareShare = 0.25
+	// spareParts bounds what one ask gets of the rest for requests to come.
+	spareParts    = 4
+	shortestWait  = 5 * time.Millisecond
+	longestWait   = 250 * time.Millisecond
+	promptReport  = 10 * time.Millisecond
+	relaxedReport = 2 // of these in a token's life
+)
+
+// grant takes tokens out of the level: first for waiting requests, then, while
+// the bucket is more than half full, for requests to come.
+func (b *bucket) grant(s *session, ask Ask, weight float64, terms Terms, now time.Time) Grant {
+	tokens := min(ask.Waiting, int(b.level))
+	tokens += min(ask.Spare, b.spare(b.level-float64(tokens), weight))
+	b.level -= float64(tokens)
+	b.outstanding += tokens
+	s.outstanding += tokens
+	s.expires = now.Add(terms.granted())
+	b.noteExpiry(s.expires)
+	b.setShort(s, tokens < ask.Waiting)
+	return Grant{Account: ask.Account, Seq: ask.Seq, Tokens: tokens, Wait: b.wait(s, weight), Report: b.report(weight, terms)}
+}
+
+// spare returns how many of the remaining tokens one cache may get for requests to come.
+func (b *bucket) spare(remaining, weight float64) int {
+	above := remaining - spareShare*b.quota.capacity(weight)
+	if above <= 0 {
+		return 0
+	}
+	return min(int(remaining), int(math.Ceil(above/spareParts)))
+}
+
+// wait spaces the asks of caches that are short, so that each finds about one new token.
+func (b *bucket) wait(s *session, weight float64) time.Duration {
+	if !s.short {
+		return 0
 	}
-	if b.rate <= 0 {
-		return false, time.Duration(1<<63 - 1)
+	rate := b.quota.Rate * weight
+	if rate <= 0 {
+		return longestWait
 	}
-	missing := 1 - b.level
-	return false, time.Duration(missing / b.rate * float64(time.Second))
+	perToken := time.Duration(float64(b.short) / rate * float64(time.Second))
+	return min(max(perToken, shortestWait), longestWait)
 }
 
-func (b *Bucket) fill(now time.Time) {
-	if elapsed := now.Sub(b.last); elapsed > 0 {
-		b.level = min(b.burst, b.level+elapsed.Seconds()*b.rate)
-		b.last = now
+// report is short while spent tokens that were not reported hold back the bucket.
+func (b *bucket) report(weight float64, terms Terms) time.Duration {
+	if float64(b.outstanding) > spareShare*b.quota.capacity(weight) {
+		return promptReport
 	}
+	return terms.Life / relaxedReport
 }
--- /dev/null
+++ b/limit/cache.go
@@ -0,0 +1,211 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Source names where tokens come from: an incarnation of a home, reached
+// through an incarnation of a lender. It is 0 if not known.
+type Source uint64
+
+// Cache holds the tokens of one account in one entry.
+type Cache struct {
+	terms   Terms
+	source  Source
+	session uint64
+	seq     uint64
+	spent   uint64 // in this session
+	batch   *batch // of this session
+	retired *batch // of the session before
+	asked   time.Time
+	asking  bool
+	quiet   time.Time // no use in asking before
+	report  time.Time // when to report spent tokens; zero if there is nothing to report
+	within  time.Duration
+	demand  demand
+}
+
+// batch is a set of tokens that expire together.
+type batch struct {
+	free     int
+	reserved int
+	expires  time.Time
+}
+
+func (b *batch) valid(now time.Time) bool { return now.Before(b.expires) }
+
+// Permit is a reserved token.
+type Permit struct{ batch *batch }
+
+// NewCache returns a cache without tokens. The session number must never have
+// been used by this VM before.
+func NewCache(terms Terms, session uint64) *Cache {
+	return &Cache{terms: terms, session: session, batch: &batch{}, retired: &batch{}}
+}
+
+// Arrive counts a request for the estimate of the demand.
+func (c *Cache) Arrive(now time.Time) { c.demand.add(now) }
+
+// Reserve takes a token for a request. Tokens that expire first go first.
+func (c *Cache) Reserve(now time.Time) (Permit, bool) {
+	for _, b := range [...]*batch{c.retired, c.batch} {
+		if b.free > 0 && b.valid(now) {
+			b.free--
+			b.reserved++
+			return Permit{batch: b}, true
+		}
+	}
+	return Permit{}, false
+}
+
+// Spend uses up a reserved token. It must be called right before the request
+// leaves, and the request may leave only if it returns true.
+func (c *Cache) Spend(permit Permit, now time.Time) bool {
+	permit.batch.reserved--
+	if !permit.batch.valid(now) {
+		return false
+	}
+	if permit.batch == c.batch {
+		c.spent++
+		c.reportWithin(now)
+	}
+	return true
+}
+
+func (c *Cache) reportWithin(now time.Time) {
+	if c.report.IsZero() {
+		c.report = now.Add(c.within)
+	}
+}
+
+// Release gives back the token of a request that did not leave.
+func (c *Cache) Release(permit Permit) {
+	permit.batch.reserved--
+	permit.batch.free++
+}
+
+// Quiet returns how long asking is of no use.
+func (c *Cache) Quiet(now time.Time) time.Duration { return max(0, c.quiet.Sub(now)) }
+
+// Asking reports whether a reply is awaited.
+func (c *Cache) Asking(now time.Time) bool {
+	return c.asking && now.Sub(c.asked) < c.terms.Life
+}
+
+// Due returns when the next ask should be sent, given the number of requests
+// that wait for a token. ok is false if there is none to send.
+func (c *Cache) Due(now time.Time, waiting int) (at time.Time, ok bool) {
+	if waiting > 0 {
+		at, ok = c.quiet, true
+	}
+	if !c.report.IsZero() && (!ok || c.report.Before(at)) {
+		at, ok = c.report, true
+	}
+	if c.holding(now) {
+		renew := c.batch.expires.Add(-c.terms.Life / 2)
+		if !ok || renew.Before(at) {
+			at, ok = renew, true
+		}
+	}
+	if ok && c.Asking(now) {
+		at = later(at, c.asked.Add(c.terms.Life))
+	}
+	return at, ok
+}
+
+func (c *Cache) holding(now time.Time) bool {
+	return c.batch.valid(now) && c.batch.free+c.batch.reserved > 0
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// Ask returns the next ask. Replies to earlier ones are ignored from now on.
+// Tokens beyond the demand are given back with it.
+func (c *Cache) Ask(account string, waiting int, now time.Time) Ask {
+	c.expire(now)
+	c.seq++
+	c.asked, c.asking, c.report = now, true, time.Time{}
+	spare := c.demand.expected(now, c.terms.Life)
+	c.batch.free = min(c.batch.free, spare)
+	return Ask{
+		Account: account, Session: c.session, Seq: c.seq,
+		Held: c.batch.free + c.batch.reserved, Spent: c.spent,
+		Waiting: waiting, Spare: spare - c.batch.free,
+	}
+}
+
+// expire replaces a batch whose time is over, so that no reply renews it.
+func (c *Cache) expire(now time.Time) {
+	if !c.batch.valid(now) {
+		c.batch = &batch{}
+	}
+}
+
+// Apply takes over the reply to the latest ask and renews the tokens held.
+func (c *Cache) Apply(grant Grant, now time.Time) {
+	if !c.asking || grant.Seq != c.seq {
+		return
+	}
+	c.asking = false
+	c.within = grant.Report
+	c.quiet = now.Add(grant.Wait)
+	c.expire(now)
+	expires := c.asked.Add(c.terms.Life)
+	if !now.Before(expires) {
+		return
+	}
+	c.batch.free += grant.Tokens
+	c.batch.expires = expires
+}
+
+// Fail ends an ask without a reply; the next one should come after wait.
+func (c *Cache) Fail(wait time.Duration, now time.Time) {
+	c.asking = false
+	c.quiet = now.Add(wait)
+}
+
+// Source returns where the tokens of this session come from.
+func (c *Cache) Source() Source { return c.source }
+
+// Move starts a new session with another source. Tokens held keep their expiry.
+func (c *Cache) Move(source Source) {
+	c.source = source
+	c.session++
+	c.seq, c.spent, c.asking, c.report = 0, 0, false, time.Time{}
+	c.retired, c.batch = c.batch, &batch{}
+}
+
+// demand estimates how many requests arrive per second.
+type demand struct {
+	rate float64
+	at   time.Time
+}
+
+const demandMemory = 500 * time.Millisecond // age at which an arrival counts 1/e
+
+func (d *demand) add(now time.Time) {
+	d.decay(now)
+	d.rate += 1 / demandMemory.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	if elapsed := now.Sub(d.at); elapsed > 0 {
+		d.rate *= math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+		d.at = now
+	}
+}
+
+// negligibleDemand is the expected number of requests that no token is held for.
+const negligibleDemand = 0.3
+
+// expected returns the number of requests to expect within the span.
+func (d *demand) expected(now time.Time, span time.Duration) int {
+	d.decay(now)
+	return int(math.Ceil(max(0, d.rate*span.Seconds()-negligibleDemand)))
+}
--- /dev/null
+++ b/limit/control_test.go
@@ -0,0 +1,122 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+// saturate sends several times the account's rate, evenly over all VMs.
+func (f *fleet) saturate(account string, factor float64) {
+	rate := f.quotas[account].Rate * factor
+	var next func()
+	next = func() {
+		f.nodes[f.random.IntN(len(f.nodes))].arrive(account)
+		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	next()
+}
+
+const halfFleet = 8
+
+// cutHalves cuts the fleet in two, both ways, from 5 s to 25 s.
+func cutHalves(f *fleet) {
+	f.net.cut = func(from, to int) bool {
+		return (from < halfFleet) != (to < halfFleet) && f.now > 5*time.Second && f.now < 25*time.Second
+	}
+}
+
+// pauseHolders pauses VMs that hold tokens for longer than any term. When one
+// wakes, a burst at the others has just used up the full bucket.
+func pauseHolders(f *fleet) {
+	burst := func(n *node, requests int) {
+		for range requests {
+			n.arrive("a")
+		}
+	}
+	for i, n := range f.nodes {
+		start := time.Duration(i)*4*time.Second + 2*time.Second
+		f.at(start, func() {
+			n.hold = 200 * time.Millisecond
+			burst(n, 10)
+		})
+		f.at(start+20*time.Millisecond, func() { n.pause(3 * time.Second) })
+		for before := range 6 {
+			f.at(start+3*time.Second-time.Duration(before)*50*time.Millisecond, func() {
+				for _, other := range f.nodes {
+					burst(other, 3)
+				}
+			})
+		}
+	}
+}
+
+var longTerms = Terms{Lend: 3 * time.Second, Life: 400 * time.Millisecond}
+
+// directed are schedules in which each fault of the mechanism shows: the load
+// wants every token, or the bucket is full whenever a stale token is used.
+var directed = []struct {
+	name    string
+	terms   Terms
+	load    float64 // of the account's rate
+	faults  func(*fleet)
+	control func(*fleet) // removes one part of the mechanism
+}{
+	{"two-way cut", longTerms, 3, cutHalves, func(f *fleet) { f.lendsAnyway = true }},
+	{"paused holders", DefaultTerms, 0.3, pauseHolders, func(f *fleet) { f.spendsStale = true }},
+}
+
+func runDirected(terms Terms, load float64, setUp ...func(*fleet)) *fleet {
+	f := newFleet(newWorld(20261204), 2*halfFleet, terms, map[string]Quota{"a": {Rate: 96, Burst: 20}}, slewError)
+	for _, change := range setUp {
+		change(f)
+	}
+	f.saturate("a", load)
+	f.runUntil(30 * time.Second)
+	return f
+}
+
+// TestProofRateDirected checks the bound where the controls below break it.
+func TestProofRateDirected(t *testing.T) {
+	for _, c := range directed {
+		t.Run(c.name, func(t *testing.T) {
+			m := runDirected(c.terms, c.load, c.faults).meters["a"]
+			if m.over > 0 || m.admitted < 500 {
+				t.Fatalf("%d over, %d admitted", m.over, m.admitted)
+			}
+		})
+	}
+}
+
+// TestControlRateDirected shows that the same check finds each missing part.
+func TestControlRateDirected(t *testing.T) {
+	for _, c := range directed {
+		t.Run(c.name, func(t *testing.T) {
+			m := runDirected(c.terms, c.load, c.faults, c.control).meters["a"]
+			t.Logf("%d requests over the bound, %d admitted", m.over, m.admitted)
+			if m.over == 0 {
+				t.Fatal("the check does not notice the missing part")
+			}
+		})
+	}
+}
+
+// TestControlRateEachVM shows that the check notices VMs that each apply the whole rate.
+func TestControlRateEachVM(t *testing.T) {
+	w := newWorld(20261204)
+	quota := Quota{Rate: 96, Burst: 20}
+	m := newMeter(quota)
+	buckets := make([]central, halfFleet)
+	for i := range buckets {
+		buckets[i].meter = *newMeter(quota)
+	}
+	for range 96 * 3 * 30 {
+		w.now += time.Duration(w.random.ExpFloat64() / (96 * 3) * float64(time.Second))
+		if buckets[w.random.IntN(len(buckets))].admit(w.now) {
+			m.use(w.now)
+		}
+	}
+	t.Logf("%d requests over the bound, %d admitted", m.over, m.admitted)
+	if m.over == 0 {
+		t.Fatal("the check does not notice the missing sharing")
+	}
+}
--- /dev/null
+++ b/limit/fleet_test.go
@@ -0,0 +1,518 @@
+package limit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lacewingmount.dev/membership"
+)
+
+// epoch is when every simulated fleet starts.
+var epoch = time.Unix(1_800_000_000, 0)
+
+// event is a function that runs at a moment of true time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type schedule []event
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || (s[i].at == s[j].at && s[i].seq < s[j].seq)
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(event)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// world runs events in the order of true time.
+type world struct {
+	random *rand.Rand
+	now    time.Duration
+	events schedule
+	seq    int
+}
+
+func newWorld(seed uint64) *world { return &world{random: rand.New(rand.NewPCG(seed, seed))} }
+
+func (w *world) at(at time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: max(at, w.now), seq: w.seq, run: run})
+}
+
+func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
+
+func (w *world) runUntil(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// network decides what happens to a message.
+type network struct {
+	loss, double float64       // parts of all messages
+	late         float64       // part that is delayed by up to lateBy
+	lateBy       time.Duration // so that messages overtake each other
+	cut          func(from, to int) bool
+}
+
+const (
+	shortestDelay = time.Millisecond
+	longestDelay  = 5 * time.Millisecond
+)
+
+// meter checks the bound on every window of one account: usage <= burst + rate*length.
+type meter struct {
+	quota    Quota
+	level    float64
+	at       time.Duration
+	admitted int
+	over     int // requests beyond the bound
+}
+
+func newMeter(quota Quota) *meter { return &meter{quota: quota, level: quota.Burst} }
+
+func (m *meter) advance(now time.Duration) {
+	m.level = min(m.quota.Burst, m.level+(now-m.at).Seconds()*m.quota.Rate)
+	m.at = now
+}
+
+func (m *meter) use(now time.Duration) {
+	m.advance(now)
+	m.admitted++
+	m.level--
+	if m.level < -1e-6 {
+		m.over++
+		m.level++
+	}
+}
+
+// central is the reference: one bucket that sees every request at once.
+type central struct {
+	meter
+}
+
+func (c *central) admit(now time.Duration) bool {
+	c.advance(now)
+	if c.level < 1 {
+		return false
+	}
+	c.level--
+	c.admitted++
+	return true
+}
+
+// fleet simulates VMs that share accounts by lent shares.
+type fleet struct {
+	*world
+	net      network
+	terms    Terms
+	quotas   map[string]Quota
+	nodes    []*node
+	ledger   Ledger
+	meters   map[string]*meter
+	wait     time.Duration // that a request waits for a token
+	messages int
+	waited   int
+	waits    time.Duration
+
+	spendsStale  bool // control: a holder does not compare times after a pause
+	lendsAnyway  bool // control: a right is lent without waiting for its term
+	shareless    int  // nodes from this index on hold no share
+	storeGone    bool
+	nextStart    uint64
+	bytesOf      func(any) int
+	bytes        int
+	refusedCount int
+}
+
+// node is one VM with its agent and entry.
+type node struct {
+	fleet   *fleet
+	index   int
+	vm      VM
+	lender  *Lender
+	home    *Home
+	caches  map[string]*Cache
+	waiting map[string][]*request
+	pumped  map[string]time.Duration
+	rate    float64       // of the clock
+	hold    time.Duration // most time between the reservation of a token and its use
+	paused  time.Duration
+	down    bool
+	life    int // counts restarts, so that events of an earlier life are dropped
+	stale   time.Time
+}
+
+type request struct {
+	account  string
+	arrived  time.Duration
+	finished bool
+}
+
+// slewError is the largest error of a disciplined clock's rate.
+const slewError = 0.0005
+
+// newFleet starts VMs whose clocks run at rates up to clockError off.
+func newFleet(w *world, vms int, terms Terms, quotas map[string]Quota, clockError float64) *fleet {
+	f := &fleet{
+		world: w, terms: terms, quotas: quotas, ledger: NewLedger(), meters: map[string]*meter{},
+		wait: 100 * time.Millisecond, shareless: vms, net: network{cut: func(int, int) bool { return false }},
+	}
+	f.ledger.Version = 1
+	for account, quota := range quotas {
+		f.meters[account] = newMeter(quota)
+	}
+	for i := range vms {
+		f.nodes = append(f.nodes, &node{fleet: f, index: i, rate: 1 + clockError*(2*w.random.Float64()-1)})
+	}
+	for i := range vms {
+		f.start(f.nodes[i], fmt.Sprintf("vm-%d", i))
+	}
+	f.publishMembers()
+	return f
+}
+
+// start boots a node as a new incarnation of a VM and claims shares.
+func (f *fleet) start(n *node, name string) {
+	f.nextStart++
+	n.life++
+	n.down, n.paused = false, 0
+	n.vm = VM{Name: name, Incarnation: f.nextStart}
+	n.lender, n.home = NewLender(f.terms, n.vm), NewHome(f.terms, n.vm.Incarnation)
+	n.caches, n.waiting, n.pumped = map[string]*Cache{}, map[string][]*request{}, map[string]time.Duration{}
+	n.home.SetQuotas(f.quotas, n.clock())
+	started := n.clock()
+	n.every(50*time.Millisecond, n.tick)
+	n.every(time.Second, func() { n.claim(started) })
+	n.claim(started)
+	f.publishMembers()
+}
+
+// claim takes shares from the ledger, as the agent does through the store.
+func (n *node) claim(started time.Time) {
+	f := n.fleet
+	if f.storeGone || n.index >= f.shareless {
+		return
+	}
+	from := started
+	if held, ok := f.ledger.Of(n.vm.Name); ok && held.Holder != n.vm {
+		from = started.Add(f.terms.Quarantine())
+	}
+	if next, changed := f.ledger.Claim(n.vm, len(f.nodes)); changed {
+		next.Version++
+		f.ledger = next
+	}
+	n.home.SetLedger(f.ledger, n.clock())
+	held, _ := f.ledger.Of(n.vm.Name)
+	lend := Lend{Holder: n.vm, Shares: held.Shares, Total: f.ledger.Total, Ledger: f.ledger.Version}
+	if lend.valid() && held.Holder == n.vm {
+		n.lender.SetRights([]Lend{lend}, from, n.clock())
+	}
+}
+
+func (f *fleet) publishMembers() {
+	var members []membership.Member
+	for _, n := range f.nodes {
+		if !n.down && n.lender != nil {
+			members = append(members, membership.Member{Name: n.vm.Name})
+		}
+	}
+	for _, n := range f.nodes {
+		if n.lender != nil {
+			n.lender.SetMembers(members)
+		}
+	}
+}
+
+func (f *fleet) byName(name string) *node {
+	for _, n := range f.nodes {
+		if n.vm.Name == name && !n.down {
+			return n
+		}
+	}
+	return nil
+}
+
+// clock is the node's monotonic clock, which runs at a rate of its own.
+func (n *node) clock() time.Time {
+	return epoch.Add(time.Duration(float64(n.fleet.now) * n.rate))
+}
+
+// do runs now, or once the node's pause is over; never in a later life.
+func (n *node) do(run func()) {
+	life := n.life
+	if n.fleet.now < n.paused {
+		n.fleet.at(n.paused, func() {
+			if n.life == life && !n.down {
+				n.do(run)
+			}
+		})
+		return
+	}
+	run()
+}
+
+func (n *node) after(d time.Duration, run func()) {
+	life := n.life
+	n.fleet.after(d, func() {
+		if n.life == life && !n.down {
+			n.do(run)
+		}
+	})
+}
+
+func (n *node) every(period time.Duration, run func()) {
+	n.after(period/2+time.Duration(n.fleet.random.Int64N(int64(period/2)+1)), func() {
+		run()
+		n.every(period, run)
+	})
+}
+
+func (n *node) tick() {
+	for _, out := range n.lender.Due(n.clock()) {
+		n.send(out)
+	}
+}
+
+// send carries an exchange to its home and the reply back.
+func (n *node) send(out Outgoing) {
+	f := n.fleet
+	if f.lendsAnyway {
+		n.lender.groups[out.Exchange.Group].until = time.Time{}
+	}
+	answered := false
+	n.after(f.terms.Life, func() {
+		if !answered {
+			n.lender.Fail(out, n.clock())
+			n.failAsks(out)
+		}
+	})
+	target := f.byName(out.To)
+	if target == nil {
+		return
+	}
+	f.carry(n, target, out.Exchange, func() {
+		reply := target.home.Handle(out.Exchange, target.clock())
+		f.carry(target, n, reply, func() {
+			answered = true
+			n.receive(out, reply)
+		})
+	})
+}
+
+// carry delivers a message after a random delay, not at all, or twice.
+func (f *fleet) carry(from, to *node, message any, deliver func()) {
+	if from == to {
+		deliver()
+		return
+	}
+	f.messages++
+	if f.bytesOf != nil {
+		f.bytes += f.bytesOf(message)
+	}
+	copies := 1
+	if f.random.Float64() < f.net.double {
+		copies = 2
+	}
+	for range copies {
+		if f.random.Float64() < f.net.loss || f.net.cut(from.index, to.index) {
+			continue
+		}
+		delay := shortestDelay + time.Duration(f.random.Int64N(int64(longestDelay-shortestDelay)))
+		if f.net.late > 0 && f.random.Float64() < f.net.late {
+			delay += time.Duration(f.random.Int64N(int64(f.net.lateBy)))
+		}
+		to.after(delay, deliver)
+	}
+}
+
+func (n *node) receive(out Outgoing, reply Reply) {
+	n.lender.Complete(out, reply, n.clock())
+	for _, grant := range reply.Grants {
+		n.cache(grant.Account).Apply(grant, n.clock())
+		n.stale = n.clock()
+		n.serve(grant.Account)
+		n.pump(grant.Account)
+	}
+}
+
+func (n *node) failAsks(out Outgoing) {
+	for _, ask := range out.Exchange.Asks {
+		n.cache(ask.Account).Fail(0, n.clock())
+		n.pump(ask.Account)
+	}
+}
+
+func (n *node) cache(account string) *Cache {
+	c := n.caches[account]
+	if c == nil {
+		c = NewCache(n.fleet.terms, n.fleet.random.Uint64()<<20)
+		n.caches[account] = c
+	}
+	return c
+}
+
+// arrive starts a request at the node's entry.
+func (n *node) arrive(account string) {
+	if n.down {
+		n.fleet.refusedCount++
+		return
+	}
+	n.do(func() {
+		r := &request{account: account, arrived: n.fleet.now}
+		c := n.cache(account)
+		c.Arrive(n.clock())
+		if len(n.waiting[account]) == 0 && n.take(r) {
+			n.pump(account)
+			return
+		}
+		if c.Quiet(n.clock()) > n.fleet.wait {
+			n.fleet.refusedCount++
+			return
+		}
+		n.waiting[account] = append(n.waiting[account], r)
+		n.after(n.fleet.wait, func() { n.giveUp(r) })
+		n.pump(account)
+	})
+}
+
+func (n *node) giveUp(r *request) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	n.fleet.refusedCount++
+	n.drop(r)
+}
+
+func (n *node) drop(r *request) {
+	queue := n.waiting[r.account]
+	for i, other := range queue {
+		if other == r {
+			n.waiting[r.account] = append(queue[:i:i], queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// take reserves a token for the request and uses it after a random part of the node's hold time.
+func (n *node) take(r *request) bool {
+	now := n.clock()
+	if n.fleet.spendsStale {
+		now = n.stale
+	}
+	c := n.cache(r.account)
+	permit, ok := c.Reserve(now)
+	if !ok {
+		return false
+	}
+	if waited := n.fleet.now - r.arrived; waited > 0 {
+		n.fleet.waited++
+		n.fleet.waits += waited
+	}
+	if n.hold == 0 {
+		n.use(r, permit, now)
+		return true
+	}
+	n.after(time.Duration(n.fleet.random.Int64N(int64(n.hold))), func() {
+		if !n.fleet.spendsStale {
+			now = n.clock()
+		}
+		n.use(r, permit, now)
+	})
+	return true
+}
+
+func (n *node) use(r *request, permit Permit, now time.Time) {
+	if n.cache(r.account).Spend(permit, now) {
+		n.fleet.meters[r.account].use(n.fleet.now)
+	}
+}
+
+func (n *node) serve(account string) {
+	for len(n.waiting[account]) > 0 {
+		first := n.waiting[account][0]
+		if !n.take(first) {
+			return
+		}
+		first.finished = true
+		n.waiting[account] = n.waiting[account][1:]
+	}
+}
+
+// pump sends the next ask of an account when it is due.
+func (n *node) pump(account string) {
+	now := n.clock()
+	at, ok := n.cache(account).Due(now, len(n.waiting[account]))
+	if !ok {
+		return
+	}
+	if wait := at.Sub(now); wait > 0 {
+		due := n.fleet.now + wait
+		if n.pumped[account] > n.fleet.now && n.pumped[account] <= due {
+			return
+		}
+		n.pumped[account] = due
+		n.after(wait+time.Microsecond, func() { n.pump(account) })
+		return
+	}
+	n.ask(account, now)
+}
+
+func (n *node) ask(account string, now time.Time) {
+	group := GroupOf(account)
+	c := n.cache(account)
+	source := n.lender.Source(group)
+	if source == 0 {
+		n.send(n.lender.Prepare(group, nil, now))
+		c.Fail(10*time.Millisecond, now)
+		n.after(11*time.Millisecond, func() { n.pump(account) })
+		return
+	}
+	if c.Source() != source {
+		c.Move(source)
+	}
+	n.send(n.lender.Prepare(group, []Ask{c.Ask(account, len(n.waiting[account]), now)}, now))
+}
+
+func (n *node) pause(span time.Duration) { n.paused = max(n.paused, n.fleet.now+span) }
+
+// crash stops the node; its VM stays in the list of members.
+func (n *node) crash() {
+	n.down = true
+	n.life++
+}
+
+// stock returns the sum of all homes' levels and outstanding tokens of an account.
+func (f *fleet) stock(account string) float64 {
+	sum := 0.0
+	for _, n := range f.nodes {
+		if !n.down {
+			level, outstanding := n.home.Stock(account, n.clock())
+			sum += level + float64(outstanding)
+		}
+	}
+	return sum
+}
+
+func (f *fleet) weight(group int) float64 {
+	sum := 0.0
+	for _, n := range f.nodes {
+		if !n.down {
+			sum += n.home.Weight(group, n.clock())
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/limit/home.go
@@ -0,0 +1,290 @@
+package limit
+
+import "time"
+
+// Home sums up the rights lent to one VM and grants tokens out of them.
+type Home struct {
+	terms       Terms
+	incarnation uint64
+	quotas      map[string]Quota
+	ledger      Ledger
+	groups      [Groups]group
+	leaving     bool
+}
+
+// NewHome returns a home without rights.
+func NewHome(terms Terms, incarnation uint64) *Home {
+	return &Home{terms: terms, incarnation: incarnation, quotas: map[string]Quota{}}
+}
+
+// SetQuotas replaces the rates and bursts of all accounts.
+func (h *Home) SetQuotas(quotas map[string]Quota, now time.Time) {
+	h.quotas = quotas
+	for i := range h.groups {
+		h.groups[i].advance(now)
+		h.groups[i].setQuotas(quotas)
+	}
+}
+
+// SetLedger takes over a younger ledger and drops the rights that it denies.
+func (h *Home) SetLedger(ledger Ledger, now time.Time) {
+	if ledger.Version <= h.ledger.Version {
+		return
+	}
+	h.ledger = ledger
+	for i := range h.groups {
+		g := &h.groups[i]
+		g.advance(now)
+		for name, right := range g.rights {
+			if !h.owned(right.Lend) {
+				g.drop(name, now, h.terms)
+			}
+		}
+	}
+}
+
+// Leave drops all rights and refuses new ones. Lenders learn it with their next exchange.
+func (h *Home) Leave(now time.Time) {
+	h.leaving = true
+	for i := range h.groups {
+		g := &h.groups[i]
+		g.advance(now)
+		for name := range g.rights {
+			g.drop(name, now, h.terms)
+		}
+	}
+}
+
+// Handle answers an exchange.
+func (h *Home) Handle(m Exchange, now time.Time) Reply {
+	reply := Reply{Home: h.incarnation, Stamp: now.UnixNano(), Ledger: h.ledger.Version}
+	if m.Terms != h.terms || m.Group < 0 || m.Group >= Groups {
+		reply.Mismatch = true
+		return reply
+	}
+	if m.Home != h.incarnation {
+		return reply // the sender learns the incarnation first
+	}
+	g := &h.groups[m.Group]
+	g.advance(now)
+	for _, name := range m.Withdraw {
+		g.drop(name, now, h.terms)
+	}
+	reply.Released = h.leaving || len(m.Withdraw) > 0
+	for _, lend := range m.Lends {
+		if !h.owned(lend) {
+			reply.Disowned = true
+		} else if !h.leaving {
+			g.accept(lend, time.Unix(0, m.Stamp), now, h.terms)
+		}
+	}
+	for _, ask := range m.Asks {
+		reply.Grants = append(reply.Grants, h.answer(g, m.From, ask, now))
+	}
+	return reply
+}
+
+// owned reports whether no younger ledger denies the right.
+func (h *Home) owned(lend Lend) bool {
+	if h.ledger.Version <= lend.Ledger {
+		return true
+	}
+	return h.ledger.weight(lend.Holder) >= lend.weight()
+}
+
+func (h *Home) answer(g *group, from VM, ask Ask, now time.Time) Grant {
+	quota, ok := h.quotas[ask.Account]
+	if !ok {
+		return Grant{Account: ask.Account, Seq: ask.Seq, Wait: longestWait}
+	}
+	b := g.bucket(ask.Account, quota)
+	b.fill(g.integral, g.weight)
+	b.expire(now)
+	s := b.session(sessionKey{from: from, id: ask.Session}, ask.Seq)
+	if s == nil {
+		return Grant{Account: ask.Account, Seq: ask.Seq}
+	}
+	b.settle(s, ask)
+	b.clip(g.weight)
+	return b.grant(s, ask, g.weight, h.terms, now)
+}
+
+// Weight returns the sum of the rights that the home may use for a group at the given time.
+func (h *Home) Weight(group int, now time.Time) float64 {
+	h.groups[group].advance(now)
+	return h.groups[group].weight
+}
+
+// Stock returns an account's level and its tokens outstanding at the given time.
+func (h *Home) Stock(account string, now time.Time) (level float64, outstanding int) {
+	g := &h.groups[GroupOf(account)]
+	g.advance(now)
+	b := g.buckets[account]
+	if b == nil {
+		return 0, 0
+	}
+	b.fill(g.integral, g.weight)
+	b.expire(now)
+	return b.level, b.outstanding
+}
+
+// group is the set of rights lent for one group of accounts, with their buckets.
+type group struct {
+	rights   map[string]right     // by the VM that holds the shares
+	dropped  map[string]time.Time // when a right was dropped before its end
+	weight   float64              // sum of the rights
+	integral float64              // of the weight over time, in seconds
+	at       time.Time            // up to which the integral counts
+	nextEnd  time.Time            // not after the end of any right
+	buckets  map[string]*bucket
+}
+
+// right is a lend until its end.
+type right struct {
+	Lend
+	end time.Time
+}
+
+// advance integrates the weight up to now, ending each right in its time.
+func (g *group) advance(now time.Time) {
+	for len(g.rights) > 0 && !now.Before(g.nextEnd) {
+		g.integrate(g.nextEnd)
+		g.removeEnded(g.nextEnd)
+	}
+	g.integrate(now)
+}
+
+func (g *group) integrate(to time.Time) {
+	if elapsed := to.Sub(g.at); elapsed > 0 {
+		g.integral += g.weight * elapsed.Seconds()
+		g.at = to
+	}
+}
+
+// removeEnded removes the rights that end at the given time or before.
+func (g *group) removeEnded(at time.Time) {
+	for name, r := range g.rights {
+		if !at.Before(r.end) {
+			g.remove(name)
+		}
+	}
+	g.setNextEnd()
+}
+
+func (g *group) setNextEnd() {
+	first := true
+	for _, r := range g.rights {
+		if first || r.end.Before(g.nextEnd) {
+			g.nextEnd, first = r.end, false
+		}
+	}
+}
+
+// remove takes a right away, with its part of every bucket.
+func (g *group) remove(name string) {
+	g.fillAll()
+	delete(g.rights, name)
+	g.setWeight()
+	g.clipAll()
+}
+
+func (g *group) fillAll() {
+	for _, b := range g.buckets {
+		b.fill(g.integral, g.weight)
+	}
+}
+
+func (g *group) clipAll() {
+	for _, b := range g.buckets {
+		b.clip(g.weight)
+	}
+}
+
+// setWeight sums up the rights in whole shares, so that no rounding adds up.
+func (g *group) setWeight() {
+	shares := map[int]int{}
+	for _, r := range g.rights {
+		shares[r.Total] += r.Shares
+	}
+	g.weight = 0
+	for total, held := range shares {
+		g.weight += float64(held) / float64(total)
+	}
+	g.weight = min(g.weight, 1)
+}
+
+// drop ends a right before its time. Lends sent before are refused from now on.
+func (g *group) drop(name string, now time.Time, terms Terms) {
+	if g.dropped == nil {
+		g.dropped = map[string]time.Time{}
+	}
+	for other, at := range g.dropped {
+		if now.Sub(at) > terms.Lend {
+			delete(g.dropped, other) // lends sent before have ended by themselves
+		}
+	}
+	g.dropped[name] = now
+	if _, ok := g.rights[name]; ok {
+		g.remove(name)
+	}
+}
+
+// accept takes a right for what remains of its term.
+func (g *group) accept(lend Lend, stamp, now time.Time, terms Terms) {
+	end := stamp.Add(terms.Lend)
+	if !now.Before(end) || stamp.After(now) || !lend.valid() {
+		return
+	}
+	if at, ok := g.dropped[lend.Holder.Name]; ok && !stamp.After(at) {
+		return
+	}
+	known := g.rights[lend.Holder.Name]
+	if end.Before(known.end) || lend.Holder.Incarnation < known.Holder.Incarnation {
+		return // a newer lend came first
+	}
+	g.put(right{Lend: lend, end: end}, known)
+}
+
+// put replaces the known right of the same VM, if there is one.
+func (g *group) put(next, known right) {
+	if g.rights == nil {
+		g.rights = map[string]right{}
+	}
+	if next.Shares == known.Shares && next.Total == known.Total {
+		g.rights[next.Holder.Name] = next
+		return
+	}
+	g.fillAll()
+	g.rights[next.Holder.Name] = next
+	g.setWeight()
+	g.setNextEnd()
+	g.clipAll()
+}
+
+// bucket returns the account's bucket; a new one is empty.
+func (g *group) bucket(account string, quota Quota) *bucket {
+	b := g.buckets[account]
+	if b != nil {
+		return b
+	}
+	if g.buckets == nil {
+		g.buckets = map[string]*bucket{}
+	}
+	b = &bucket{quota: quota, filledTo: g.integral, sessions: map[sessionKey]*session{}}
+	g.buckets[account] = b
+	return b
+}
+
+// setQuotas changes the buckets' rates and bursts. An account that is gone is
+// forgotten once none of its tokens can be spent.
+func (g *group) setQuotas(quotas map[string]Quota) {
+	for account, b := range g.buckets {
+		b.fill(g.integral, g.weight)
+		b.expire(g.at)
+		b.quota = quotas[account]
+		b.clip(g.weight)
+		if b.quota == (Quota{}) && len(b.sessions) == 0 {
+			delete(g.buckets, account)
+		}
+	}
+}
--- /dev/null
+++ b/limit/ledger.go
@@ -0,0 +1,129 @@
+package limit
+
+import (
+	"slices"
+)
+
+// Holding is the number of shares that one incarnation of a VM holds.
+type Holding struct {
+	Holder VM  `json:"holder"`
+	Shares int `json:"shares"`
+}
+
+// Ledger says who holds the shares. Those that nobody holds are free.
+type Ledger struct {
+	Version  uint64    `json:"-"` // of the stored value
+	Total    int       `json:"total"`
+	Holdings []Holding `json:"holdings"`
+}
+
+// InitialShares is the number of shares of a new ledger. It divides by 40 and 48,
+// and one of them is a small part of the rate.
+const InitialShares = 240
+
+// NewLedger returns a ledger whose shares are all free.
+func NewLedger() Ledger { return Ledger{Total: InitialShares} }
+
+// Valid reports whether the holdings fit into the total and name each VM once.
+func (l Ledger) Valid() bool {
+	names := map[string]bool{}
+	for _, holding := range l.Holdings {
+		if holding.Shares <= 0 || names[holding.Holder.Name] {
+			return false
+		}
+		names[holding.Holder.Name] = true
+	}
+	return l.Total > 0 && l.Free() >= 0
+}
+
+// Free returns the number of shares that nobody holds.
+func (l Ledger) Free() int {
+	free := l.Total
+	for _, holding := range l.Holdings {
+		free -= holding.Shares
+	}
+	return free
+}
+
+// Of returns the holding of a VM, whatever its incarnation.
+func (l Ledger) Of(name string) (Holding, bool) {
+	i := l.index(name)
+	if i < 0 {
+		return Holding{}, false
+	}
+	return l.Holdings[i], true
+}
+
+func (l Ledger) index(name string) int {
+	return slices.IndexFunc(l.Holdings, func(h Holding) bool { return h.Holder.Name == name })
+}
+
+// weight returns the part of all shares that this incarnation holds.
+func (l Ledger) weight(holder VM) float64 {
+	holding, ok := l.Of(holder.Name)
+	if !ok || holding.Holder != holder {
+		return 0
+	}
+	return float64(holding.Shares) / float64(l.Total)
+}
+
+// Claim gives the VM what it should hold among the given number of VMs: the
+// shares of its own earlier incarnation, and free ones up to an equal part.
+// changed is false if it holds that already.
+func (l Ledger) Claim(self VM, members int) (next Ledger, changed bool) {
+	held, _ := l.Of(self.Name)
+	fair := (l.Total + members - 1) / max(members, 1)
+	wanted := held.Shares + min(max(fair-held.Shares, 0), l.Free())
+	if wanted == 0 || (held.Holder == self && wanted == held.Shares) {
+		return l, false
+	}
+	next = l.without(self.Name)
+	next.Holdings = append(next.Holdings, Holding{Holder: self, Shares: wanted})
+	return next, true
+}
+
+// Release frees the shares of a holder.
+func (l Ledger) Release(holder VM) (next Ledger, changed bool) {
+	held, ok := l.Of(holder.Name)
+	if !ok || held.Holder != holder {
+		return l, false
+	}
+	return l.without(holder.Name), true
+}
+
+// Transfer moves the shares of a holder to another VM.
+func (l Ledger) Transfer(from, to VM) (next Ledger, changed bool) {
+	held, ok := l.Of(from.Name)
+	if !ok || held.Holder != from || from.Name == to.Name {
+		return l, false
+	}
+	next = l.without(from.Name)
+	if own := next.index(to.Name); own >= 0 {
+		next.Holdings[own] = Holding{Holder: to, Shares: next.Holdings[own].Shares + held.Shares}
+		return next, true
+	}
+	next.Holdings = append(next.Holdings, Holding{Holder: to, Shares: held.Shares})
+	return next, true
+}
+
+// Multiply divides every share into the given number of smaller ones. No
+// holder's part changes.
+func (l Ledger) Multiply(by int) Ledger {
+	next := l.without("")
+	next.Total *= by
+	for i := range next.Holdings {
+		next.Holdings[i].Shares *= by
+	}
+	return next
+}
+
+// without returns a copy that lacks the VM's holding.
+func (l Ledger) without(name string) Ledger {
+	next := Ledger{Version: l.Version, Total: l.Total}
+	for _, holding := range l.Holdings {
+		if holding.Holder.Name != name {
+			next.Holdings = append(next.Holdings, holding)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/limit/lender.go
@@ -0,0 +1,312 @@
+package limit
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingmount.dev/membership"
+)
+
+// Lender lends one VM's rights, group by group, to the homes of the groups.
+type Lender struct {
+	terms     Terms
+	self      VM
+	rights    []Lend
+	from      time.Time // the rights are not lent earlier
+	confirmed time.Time // last contact with the store or a peer
+	members   []membership.Member
+	peers     map[string]*peer
+	groups    [Groups]lentGroup
+	targets   [Groups]string // cache of Target; empty if not known
+	number    uint64         // of the last outgoing exchange
+	leaving   bool
+}
+
+// lentGroup is where the rights for one group are.
+type lentGroup struct {
+	home        string // that they were lent to last
+	incarnation uint64 // of that home
+	until       time.Time
+	lastLend    uint64    // number of the last exchange that lent them
+	exchanged   time.Time // last exchange with the present home
+	withdrawn   time.Time // last withdrawal prepared
+}
+
+// peer is what a lender knows about one home.
+type peer struct {
+	incarnation uint64
+	stamp       int64
+	heard       time.Time
+	failing     time.Time // since when exchanges fail; zero while they succeed
+	suspect     bool
+	tried       time.Time // last exchange prepared
+}
+
+// Outgoing is an exchange to be sent to the agent of a VM.
+type Outgoing struct {
+	To       string
+	Exchange Exchange
+	number   uint64
+	prepared time.Time
+}
+
+const (
+	// ExchangePeriod is how often a right is lent anew.
+	ExchangePeriod = 500 * time.Millisecond
+	// SuspectAfter is how long exchanges with a home may fail until its groups
+	// move to other homes.
+	SuspectAfter = 600 * time.Millisecond
+	pingPeriod   = time.Second // of exchanges with suspected homes
+)
+
+// NewLender returns a lender that knows no other VM and has nothing to lend.
+func NewLender(terms Terms, self VM) *Lender {
+	return &Lender{terms: terms, self: self, peers: map[string]*peer{}}
+}
+
+// SetMembers replaces the VMs in service, this one included.
+func (l *Lender) SetMembers(members []membership.Member) {
+	l.members = members
+	l.targets = [Groups]string{}
+}
+
+// SetRights replaces what the ledger gives to this VM, to be lent from the given
+// time on. It counts as contact with the store. If a VM is no longer among the
+// holders, its shares may be in another right now; then nothing is lent until
+// what was lent before is free.
+func (l *Lender) SetRights(rights []Lend, from, now time.Time) {
+	for _, old := range l.rights {
+		kept := slices.ContainsFunc(rights, func(r Lend) bool { return r.Holder.Name == old.Holder.Name })
+		if !kept {
+			from = later(from, l.FreeAt())
+		}
+	}
+	l.rights, l.from, l.confirmed = rights, later(l.from, from), now
+}
+
+// Rights returns what the VM may lend.
+func (l *Lender) Rights() []Lend { return l.rights }
+
+// confirm notes contact with a peer. After a long silence it counts only if the
+// peer knows no younger ledger, because the rights may have been given away.
+func (l *Lender) confirm(ledger uint64, now time.Time) {
+	if now.Sub(l.confirmed) > ConfirmFor && ledger > l.ledger() {
+		return
+	}
+	l.confirmed = now
+}
+
+// ledger returns the version of the ledger that the rights come from.
+func (l *Lender) ledger() uint64 {
+	var version uint64
+	for _, right := range l.rights {
+		version = max(version, right.Ledger)
+	}
+	return version
+}
+
+// Leave stops lending. The rights are free once FreeAt has passed.
+func (l *Lender) Leave() { l.leaving = true }
+
+// FreeAt returns when no home uses the rights any more if they are not lent again.
+func (l *Lender) FreeAt() time.Time {
+	var free time.Time
+	for i := range l.groups {
+		free = later(free, l.groups[i].until)
+	}
+	return free
+}
+
+// usable reports whether the rights may be lent now.
+func (l *Lender) usable(now time.Time) bool {
+	if l.leaving || len(l.rights) == 0 || now.Before(l.from) {
+		return false
+	}
+	return len(l.members) <= 1 || now.Sub(l.confirmed) <= ConfirmFor
+}
+
+// Target returns the present home of a group in this VM's view.
+func (l *Lender) Target(group int) string {
+	if l.targets[group] == "" {
+		l.targets[group] = l.chooseTarget(group)
+	}
+	return l.targets[group]
+}
+
+func (l *Lender) chooseTarget(group int) string {
+	trusted := make([]membership.Member, 0, len(l.members))
+	for _, member := range l.members {
+		if p := l.peers[member.Name]; p == nil || !p.suspect {
+			trusted = append(trusted, member)
+		}
+	}
+	home, ok := membership.Home(trusted, "group/"+strconv.Itoa(group))
+	if !ok {
+		return l.self.Name
+	}
+	return home.Name
+}
+
+func (l *Lender) setSuspect(p *peer, suspect bool) {
+	if p.suspect != suspect {
+		p.suspect = suspect
+		l.targets = [Groups]string{}
+	}
+}
+
+// Source names where tokens of a group come from, or 0 while that is not known.
+func (l *Lender) Source(group int) Source {
+	target := l.Target(group)
+	p := l.peers[target]
+	if p == nil || p.incarnation == 0 {
+		return 0
+	}
+	return Source(xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", target, p.incarnation, l.self.Incarnation)))
+}
+
+// Prepare returns an exchange with the home of a group that carries the given
+// asks, and lends the rights if they are free.
+func (l *Lender) Prepare(group int, asks []Ask, now time.Time) Outgoing {
+	target := l.Target(group)
+	out := l.exchange(target, group, now)
+	out.Exchange.Asks = asks
+	g := &l.groups[group]
+	g.exchanged = now
+	p := l.peer(target)
+	if p.incarnation == 0 || !l.usable(now) || !g.free(target, p.incarnation, now) {
+		return out
+	}
+	g.home, g.incarnation, g.lastLend = target, p.incarnation, out.number
+	g.until = later(g.until, now.Add(l.terms.lent()))
+	out.Exchange.Lends, out.Exchange.Stamp = l.rights, p.stamp
+	return out
+}
+
+// free reports whether the rights may be lent to the given home.
+func (g *lentGroup) free(home string, incarnation uint64, now time.Time) bool {
+	return (g.home == home && g.incarnation == incarnation) || !now.Before(g.until)
+}
+
+func (l *Lender) exchange(to string, group int, now time.Time) Outgoing {
+	p := l.peer(to)
+	p.tried = now
+	l.number++
+	return Outgoing{
+		To: to, number: l.number, prepared: now,
+		Exchange: Exchange{From: l.self, Home: p.incarnation, Group: group, Terms: l.terms},
+	}
+}
+
+func (l *Lender) peer(name string) *peer {
+	p := l.peers[name]
+	if p == nil {
+		p = &peer{}
+		l.peers[name] = p
+	}
+	return p
+}
+
+// Due returns the exchanges that should be sent now: those that renew rights,
+// withdrawals from former homes, and trials of suspected homes.
+func (l *Lender) Due(now time.Time) []Outgoing {
+	var due []Outgoing
+	for i := range l.groups {
+		g := &l.groups[i]
+		if l.lentElsewhere(i, now) && now.Sub(g.withdrawn) >= ExchangePeriod {
+			due = append(due, l.withdraw(i, now))
+		}
+		if now.Sub(g.exchanged) >= ExchangePeriod {
+			due = append(due, l.Prepare(i, nil, now))
+		}
+	}
+	for _, member := range l.members {
+		p := l.peers[member.Name]
+		if p != nil && p.suspect && now.Sub(p.tried) >= pingPeriod {
+			due = append(due, l.exchange(member.Name, 0, now))
+		}
+	}
+	return due
+}
+
+// lentElsewhere reports whether a former home, not suspected, may still use the rights.
+func (l *Lender) lentElsewhere(group int, now time.Time) bool {
+	g := &l.groups[group]
+	if g.home == "" || !now.Before(g.until) || l.peer(g.home).suspect {
+		return false
+	}
+	return l.leaving || g.home != l.Target(group)
+}
+
+func (l *Lender) withdraw(group int, now time.Time) Outgoing {
+	g := &l.groups[group]
+	g.withdrawn = now
+	out := l.exchange(g.home, group, now)
+	for _, right := range l.rights {
+		out.Exchange.Withdraw = append(out.Exchange.Withdraw, right.Holder.Name)
+	}
+	return out
+}
+
+// Complete takes over the reply to an exchange. It reports whether the home has
+// a younger ledger that denies the right.
+func (l *Lender) Complete(out Outgoing, reply Reply, now time.Time) (disowned bool) {
+	p := l.peer(out.To)
+	if reply.Home < p.incarnation && now.Sub(p.heard) < l.terms.Quarantine() {
+		return false // from a predecessor
+	}
+	if out.To != l.self.Name {
+		l.confirm(reply.Ledger, now)
+	}
+	restarted := reply.Home != p.incarnation && p.incarnation != 0
+	if reply.Home != p.incarnation || reply.Stamp > p.stamp {
+		p.incarnation, p.stamp = reply.Home, reply.Stamp
+	}
+	p.heard, p.failing = now, time.Time{}
+	l.setSuspect(p, false)
+	if restarted {
+		l.freeAfterRestart(out.To, reply.Home, now)
+	}
+	g := &l.groups[out.Exchange.Group]
+	if reply.Released && g.home == out.To && g.incarnation == reply.Home && out.number >= g.lastLend {
+		g.until = earlier(g.until, now.Add(l.terms.released()))
+	}
+	if reply.Disowned {
+		l.SetRights(nil, now, l.confirmed)
+	}
+	return reply.Disowned
+}
+
+// freeAfterRestart shortens the terms of a home that a younger incarnation replaced.
+func (l *Lender) freeAfterRestart(home string, incarnation uint64, now time.Time) {
+	for i := range l.groups {
+		g := &l.groups[i]
+		if g.home == home && g.incarnation < incarnation {
+			g.until = earlier(g.until, now.Add(l.terms.released()))
+		}
+	}
+}
+
+// Fail notes that an exchange got no reply.
+func (l *Lender) Fail(out Outgoing, now time.Time) {
+	p := l.peer(out.To)
+	if p.heard.After(out.prepared) || out.To == l.self.Name {
+		return
+	}
+	if p.failing.IsZero() {
+		p.failing = out.prepared
+	}
+	if now.Sub(p.failing) >= SuspectAfter {
+		l.setSuspect(p, true)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/limit/terms.go
@@ -0,0 +1,38 @@
+package limit
+
+import "time"
+
+// Terms are the spans that all VMs of a fleet must agree on.
+type Terms struct {
+	// Lend is how long a home may use a right after the stamp that the lender returned.
+	Lend time.Duration `json:"l"`
+	// Life is how long a token may be spent after the cache asked for it.
+	Life time.Duration `json:"e"`
+}
+
+// DefaultTerms are the terms of a fleet within one region.
+var DefaultTerms = Terms{Lend: 1800 * time.Millisecond, Life: 400 * time.Millisecond}
+
+const (
+	// ConfirmFor is how long a VM may use its shares after it last heard from
+	// the store or a peer.
+	ConfirmFor = 30 * time.Second
+	// DefaultReclaimAfter is how long a VM must have been gone before its shares are freed.
+	DefaultReclaimAfter = 10 * time.Minute
+
+	clockMarginDivisor = 20 // the giving side counts a twentieth longer
+)
+
+func withMargin(d time.Duration) time.Duration { return d + d/clockMarginDivisor }
+
+// Quarantine is how long a restarted VM leaves its predecessor's shares alone.
+func (t Terms) Quarantine() time.Duration { return withMargin(t.Lend + t.Life) }
+
+// granted is how long a home counts a token as outstanding.
+func (t Terms) granted() time.Duration { return withMargin(t.Life) }
+
+// lent is how long a lender counts a right as lent after it prepared the message.
+func (t Terms) lent() time.Duration { return withMargin(t.Lend + t.Life) }
+
+// released is how long a lender waits after the home confirmed that it dropped the right.
+func (t Terms) released() time.Duration { return withMargin(t.Life) }
