Enforce rate and burst across the fleet with lent shares

Cause: each entry applied an equal part of every account's rate, so callers on few VMs were refused within their rate, and a VM more or less changed the sum.

Change: the agent claims shares from the ledger in the store (by CAS, with a lease of its own), lends them to the homes of the account groups, is a home itself, and passes its entry's asks on. The entry's admit stage reserves a token and spends it right before the request leaves; a token that expired in between is replaced or the request refused as not run. Refusals carry Retry-After from the account's rate; 503 rate-unknown says that the account's state is not known. Agents return their shares when they stop and free those of VMs that are gone.

Ruled out: waiting in the entry for the agent's restart; counting a token as used when it is handed to the entry (it could then be used after the home had refilled).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/limit"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -23,6 +24,17 @@
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
 	PeerAddresses map[string]string `yaml:"peer_addresses" validate:"dive,hostname_port"`
+
+	// ReclaimAfter is how long a VM must have been gone before others use its
+	// shares of the rates; 0 for limit.DefaultReclaimAfter.
+	ReclaimAfter daemon.Duration `yaml:"reclaim_after" validate:"min=0"`
+}
+
+func (s Settings) reclaimAfter() time.Duration {
+	if s.ReclaimAfter == 0 {
+		return limit.DefaultReclaimAfter
+	}
+	return s.ReclaimAfter.Std()
 }
 
 // Agent is the control plane of one VM.
@@ -35,36 +47,45 @@
 	state    *state
 	peers    *peers
 	claims   *claims
+	lending  *lending
 }
 
 // New returns an agent that uses the given store and list of VMs.
 func New(settings Settings, log *zap.Logger, store platform.Store, vms platform.VMList) *Agent {
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-agent")
-	return &Agent{
+	agent := &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
 		state: newState(), claims: newClaims(store),
 		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
 	}
+	agent.lending = newLending(settings.VM, agent.peers, agent.state, log, events)
+	return agent
 }
 
 // Run serves until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background()) // until the shares are returned
+	defer stop()
 	admin := daemon.NewAdmin(a.events)
-	if err := admin.Start(ctx, a.settings.Admin); err != nil {
+	if err := admin.Start(serving, a.settings.Admin); err != nil {
 		return err
 	}
 	listener, err := daemon.Listen(ctx, a.settings.Listen)
 	if err != nil {
 		return err
 	}
-	go a.handlers().Serve(ctx, listener)
+	go a.handlers().Serve(serving, listener)
 	go a.followDocument(ctx)
 	go a.followMembers(ctx)
+	go a.lending.run(serving)
+	shares := newShares(a)
+	go shares.run(ctx)
 	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	a.log.Info("started", zap.String("listen", a.settings.Listen))
 	admin.SetReady(true)
 	<-ctx.Done()
 	a.events.Add(timeline.Event{Kind: timeline.KindStopping})
+	shares.leave(serving)
 	a.log.Info("stopped")
 	return nil
 }
@@ -74,5 +95,7 @@
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
+	wire.Handle(handlers, wire.MethodExchange, a.lending.exchange)
 	return handlers
 }
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -73,3 +73,14 @@
 	}
 	return client
 }
+
+// member returns a member by name, also one that is leaving.
+func (p *peers) member(name string) (membership.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.members, func(m membership.Member) bool { return m.Name == name })
+	if i < 0 {
+		return membership.Member{}, false
+	}
+	return p.members[i], true
+}
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -1,25 +1,44 @@
 package entry
 
 import (
+	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"lacewingmount.dev/config"
-	"lacewingmount.dev/limit"
 )
 
-// Admitter decides whether a request is within its account's rate and burst.
+// admitWait bounds how long a request waits for a token of its account.
+const admitWait = 150 * time.Millisecond
+
+// Admitter hands out the tokens that keep accounts within rate and burst.
 type Admitter interface {
-	// Admit takes one request's share. If it is not admitted, wait is how long
-	// until the account's rate allows another request.
-	Admit(exchange *Exchange, now time.Time) (ok bool, wait time.Duration)
+	// Reserve returns a token for a request of the account, or the shortage
+	// that stands in its way.
+	Reserve(ctx context.Context, account string) (Token, *Shortage)
+}
+
+// Token is the right to send one request. It is spent or released, once.
+type Token interface {
+	// Spend reports whether the request may leave now. It must be called right
+	// before the first byte is sent, because a token expires.
+	Spend() bool
+	// Release gives back a token that was not spent.
+	Release()
 }
 
-// admitStage refuses requests beyond the rate and burst of their account.
+// Shortage says why there is no token.
+type Shortage struct {
+	// Lost means that the account's state is not known: the agent or the home of
+	// the account cannot be reached.
+	Lost bool
+	// Wait is when to try again at the soonest; 0 if not known.
+	Wait time.Duration
+}
+
+// admitStage reserves a token for each request of a client account.
 type admitStage struct {
 	admitter Admitter
-	now      func() time.Time
 }
 
 func (admitStage) Name() string { return "admit" }
@@ -28,37 +47,51 @@
 	if x.Account == nil {
 		return nil
 	}
-	ok, wait := s.admitter.Admit(x, s.now())
-	if ok {
-		return nil
+	token, shortage := s.admitter.Reserve(x.Request.Context(), x.Account.Name)
+	if shortage != nil {
+		return shortage.refusal(x.Account)
 	}
-	return notRun(http.StatusTooManyRequests, ReasonRate, "the client account is over its rate and burst").after(wait)
+	x.permit = &permit{token: token, admitter: s.admitter}
+	return nil
 }
 
-// StaticSplit gives each VM an equal part of every account's rate and burst.
-type StaticSplit struct {
-	mu      sync.Mutex
-	buckets map[string]*limit.Bucket
+func (s *Shortage) refusal(account *config.ClientAccount) *Refusal {
+	wait := max(s.Wait, time.Duration(float64(time.Second)/account.Rate))
+	if s.Lost {
+		return notRun(http.StatusServiceUnavailable, ReasonRateUnknown, "whether the client account is within its rate cannot be told").after(wait)
+	}
+	return notRun(http.StatusTooManyRequests, ReasonRate, "the client account is over its rate and burst").after(wait)
 }
 
-// NewStaticSplit returns an admitter without accounts.
-func NewStaticSplit() *StaticSplit { return &StaticSplit{buckets: map[string]*limit.Bucket{}} }
+// permit is the token of one exchange until it is spent.
+type permit struct {
+	token    Token
+	admitter Admitter
+	spent    bool
+}
 
-// Admit implements Admitter.
-func (s *StaticSplit) Admit(x *Exchange, now time.Time) (bool, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.bucket(x.Account, float64(x.Table.Members), now).Take(now)
+// spend is called right before the request leaves. A token that expired on the
+// way, as in a long queue, is replaced if there is another.
+func (x *Exchange) spend() *Refusal {
+	p := x.permit
+	if p == nil || p.spent {
+		return nil
+	}
+	for !p.token.Spend() {
+		token, shortage := p.admitter.Reserve(x.Request.Context(), x.Account.Name)
+		if shortage != nil {
+			x.permit = nil
+			return shortage.refusal(x.Account)
+		}
+		p.token = token
+	}
+	p.spent = true
+	return nil
 }
 
-func (s *StaticSplit) bucket(account *config.ClientAccount, members float64, now time.Time) *limit.Bucket {
-	rate, burst := account.Rate/members, account.Burst/members
-	bucket := s.buckets[account.Name]
-	if bucket == nil {
-		bucket = limit.NewBucket(rate, burst, now)
-		s.buckets[account.Name] = bucket
-		return bucket
+// releasePermit gives back the token of a request that was never sent.
+func (x *Exchange) releasePermit() {
+	if x.permit != nil && !x.permit.spent {
+		x.permit.token.Release()
 	}
-	bucket.Resize(rate, burst, now)
-	return bucket
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,7 @@
 		stages: []Stage{
 			routeStage{},
 			identifyStage{},
-			admitStage{admitter: NewStaticSplit(), now: time.Now},
+			admitStage{admitter: NewTokenCache(agent)},
 			claimStage{claimer: claimer},
 			newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
 		},
@@ -108,6 +108,7 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
+	defer x.releasePermit()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -105,6 +105,9 @@
 			return s.finish(x, notRun(http.StatusServiceUnavailable, ReasonNoServer, "no backend server can take the request").after(time.Second))
 		}
 		tried[server] = true
+		if refusal := x.spend(); refusal != nil {
+			return s.finish(x, refusal)
+		}
 		last := s.try(ctx, x, server)
 		s.picker.Report(x, server, last.observation(ctx))
 		if last.err == nil {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -36,6 +36,7 @@
 	ReasonMethod       Reason = "method"
 	ReasonKey          Reason = "key"
 	ReasonRate         Reason = "rate"
+	ReasonRateUnknown  Reason = "rate-unknown"
 	ReasonDuplicate    Reason = "duplicate"
 	ReasonClaim        Reason = "claim-unavailable"
 	ReasonNoServer     Reason = "no-server"
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -29,6 +29,7 @@
 	Claim     *wire.ClaimRequest // set on protected routes once granted
 	Body      []byte             // whole body of a protected request
 	KeyHash   string             // of the caller's key, empty on open routes
+	permit    *permit            // nil on open routes
 }
 
 // AccountName returns the name of the client account, or "" on open routes.
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -193,6 +193,7 @@
 	n.lender, n.home = NewLender(f.terms, n.vm), NewHome(f.terms, n.vm.Incarnation)
 	n.caches, n.waiting, n.pumped = map[string]*Cache{}, map[string][]*request{}, map[string]time.Duration{}
 	n.home.SetQuotas(f.quotas, n.clock())
+	n.lender.SetAccounts(f.quotas)
 	started := n.clock()
 	n.every(50*time.Millisecond, n.tick)
 	n.every(time.Second, func() { n.claim(started) })
--- a/limit/home.go
+++ b/limit/home.go
@@ -115,6 +115,17 @@
 	return h.groups[group].weight
 }
 
+// LentBy reports whether the home may use a right of the named VM.
+func (h *Home) LentBy(name string, now time.Time) bool {
+	for i := range h.groups {
+		h.groups[i].advance(now)
+		if _, ok := h.groups[i].rights[name]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Stock returns an account's level and its tokens outstanding at the given time.
 func (h *Home) Stock(account string, now time.Time) (level float64, outstanding int) {
 	g := &h.groups[GroupOf(account)]
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -68,12 +68,15 @@
 }
 
 // Claim gives the VM what it should hold among the given number of VMs: the
-// shares of its own earlier incarnation, and free ones up to an equal part.
+// shares of its own earlier incarnation, and free ones up to an equal part. It
+// gives no free ones while the number of VMs is not known (0).
 // changed is false if it holds that already.
 func (l Ledger) Claim(self VM, members int) (next Ledger, changed bool) {
 	held, _ := l.Of(self.Name)
-	fair := (l.Total + members - 1) / max(members, 1)
-	wanted := held.Shares + min(max(fair-held.Shares, 0), l.Free())
+	wanted := held.Shares
+	if members > 0 {
+		wanted += min(max(l.fair(members)-held.Shares, 0), l.Free())
+	}
 	if wanted == 0 || (held.Holder == self && wanted == held.Shares) {
 		return l, false
 	}
@@ -82,6 +85,37 @@
 	return next, true
 }
 
+// fair is an equal part of all shares, rounded up.
+func (l Ledger) fair(members int) int { return (l.Total + members - 1) / members }
+
+// Excess returns how many shares the VM should give back because it holds far
+// more than an equal part, as after the fleet has grown.
+func (l Ledger) Excess(self VM, members int) int {
+	held, ok := l.Of(self.Name)
+	if !ok || held.Holder != self || members == 0 {
+		return 0
+	}
+	fair := l.fair(members)
+	if held.Shares <= fair+fair/excessDivisor {
+		return 0
+	}
+	return held.Shares - fair
+}
+
+const excessDivisor = 4 // a quarter more than an equal part is left alone
+
+// Shrink frees some of a holder's shares. The holder must not have lent them for
+// Terms.Quarantine.
+func (l Ledger) Shrink(holder VM, by int) Ledger {
+	next := l.without("")
+	for i := range next.Holdings {
+		if next.Holdings[i].Holder == holder {
+			next.Holdings[i].Shares -= by
+		}
+	}
+	return next
+}
+
 // Release frees the shares of a holder.
 func (l Ledger) Release(holder VM) (next Ledger, changed bool) {
 	held, ok := l.Of(holder.Name)
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -19,6 +19,9 @@
 	from      time.Time // the rights are not lent earlier
 	confirmed time.Time // last contact with the store or a peer
 	members   []membership.Member
+	active    [Groups]bool // groups that have accounts
+	signed    time.Time    // last exchange sent only to confirm the rights
+	asked     int          // index of the member that it went to
 	peers     map[string]*peer
 	groups    [Groups]lentGroup
 	targets   [Groups]string // cache of Target; empty if not known
@@ -74,6 +77,14 @@
 	l.targets = [Groups]string{}
 }
 
+// SetAccounts tells which accounts exist; groups without any are not lent.
+func (l *Lender) SetAccounts(quotas map[string]Quota) {
+	l.active = [Groups]bool{}
+	for account := range quotas {
+		l.active[GroupOf(account)] = true
+	}
+}
+
 // SetRights replaces what the ledger gives to this VM, to be lent from the given
 // time on. It counts as contact with the store. If a VM is no longer among the
 // holders, its shares may be in another right now; then nothing is lent until
@@ -216,6 +227,9 @@
 	var due []Outgoing
 	for i := range l.groups {
 		g := &l.groups[i]
+		if !l.active[i] && !now.Before(g.until) {
+			continue
+		}
 		if l.lentElsewhere(i, now) && now.Sub(g.withdrawn) >= ExchangePeriod {
 			due = append(due, l.withdraw(i, now))
 		}
@@ -229,7 +243,21 @@
 			due = append(due, l.exchange(member.Name, 0, now))
 		}
 	}
-	return due
+	return append(due, l.confirmWithPeer(now)...)
+}
+
+// confirmWithPeer contacts one member after the other when no exchange with a peer
+// was due for long, as in a small fleet in which this VM is home of all groups.
+func (l *Lender) confirmWithPeer(now time.Time) []Outgoing {
+	if now.Sub(l.confirmed) < ConfirmFor/3 || now.Sub(l.signed) < pingPeriod || len(l.members) < 2 {
+		return nil
+	}
+	l.signed = now
+	l.asked = (l.asked + 1) % len(l.members)
+	if l.members[l.asked].Name == l.self.Name {
+		l.asked = (l.asked + 1) % len(l.members)
+	}
+	return []Outgoing{l.exchange(l.members[l.asked].Name, 0, now)}
 }
 
 // lentElsewhere reports whether a former home, not suspected, may still use the rights.
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -17,6 +17,13 @@
 	KindAnswerUnknown Kind = "answer-unknown"
 )
 
+// Event kinds of the shares of rate and burst.
+const (
+	KindSharesHeld      Kind = "shares-held"      // this VM holds another number of shares
+	KindSharesLost      Kind = "shares-lost"      // a home knows that the shares are another VM's
+	KindSharesReclaimed Kind = "shares-reclaimed" // shares of a VM that is gone were freed
+)
+
 // Event is one entry of the time line. Empty fields do not apply.
 type Event struct {
 	At       Stamp  `json:"at"`
--- /dev/null
+++ b/wire/limit.go
@@ -0,0 +1,24 @@
+package wire
+
+import "lacewingmount.dev/limit"
+
+// Methods of an agent that share out the rate and burst of client accounts.
+const (
+	// MethodTokens asks the VM's own agent for tokens; TokensRequest to TokensAnswer.
+	MethodTokens = "agent.tokens"
+	// MethodExchange lends rights to another agent and asks it for tokens;
+	// limit.Exchange to limit.Reply.
+	MethodExchange = "agent.exchange"
+)
+
+// TokensRequest asks for tokens of one account.
+type TokensRequest struct {
+	Source limit.Source `json:"source"` // of the tokens that the entry holds
+	Ask    limit.Ask    `json:"ask"`
+}
+
+// TokensAnswer carries the grant, or only the source that the entry must move to.
+type TokensAnswer struct {
+	Source limit.Source `json:"source"`
+	Grant  *limit.Grant `json:"grant,omitempty"`
+}
