--- a/entry/admit.go
+++ b/entry/admit.go
@@ -8,8 +8,13 @@
 	"lacewingmount.dev/config"
 )
 
-// admitWait bounds how long a request waits for a token of its account.
-const admitWait = 150 * time.Millisecond
+const (
+	// admitWait bounds how long a request waits for a token of its account.
+	admitWait = 150 * time.Millisecond
+	// firstAdmitWait is the bound until the first token of an account has come,
+	// as while a new fleet or account finds its home.
+	firstAdmitWait = 2 * time.Second
+)
 
 // Admitter hands out the tokens that keep accounts within rate and burst.
 type Admitter interface {
--- a/entry/tokens.go
+++ b/entry/tokens.go
@@ -71,6 +71,7 @@
 	cache   *limit.Cache
 	waiting []*tokenWaiter // in order of arrival
 	lost    bool           // the last ask got no answer
+	settled bool           // a token has come before
 	running bool           // a goroutine asks for this account
 	sleeps  time.Time      // until when that goroutine sleeps
 }
@@ -116,7 +117,8 @@
 			return cachedToken{account: a, permit: permit}, nil
 		}
 	}
-	if quiet := a.cache.Quiet(now); quiet > admitWait || len(a.waiting) >= maxTokenWaiters {
+	most := a.longestWait()
+	if quiet := a.cache.Quiet(now); quiet > most || len(a.waiting) >= maxTokenWaiters {
 		shortage := &Shortage{Lost: a.lost, Wait: quiet}
 		a.mu.Unlock()
 		return nil, shortage
@@ -125,12 +127,19 @@
 	a.waiting = append(a.waiting, waiter)
 	a.start(now)
 	a.mu.Unlock()
-	return a.wait(ctx, waiter, now)
+	return a.wait(ctx, waiter, now, most)
 }
 
-// wait blocks until the waiter has its permit or waited long enough.
-func (a *accountTokens) wait(ctx context.Context, waiter *tokenWaiter, since time.Time) (Token, *Shortage) {
-	timer := time.NewTimer(admitWait)
+func (a *accountTokens) longestWait() time.Duration {
+	if a.settled {
+		return admitWait
+	}
+	return firstAdmitWait
+}
+
+// wait blocks until the waiter has its permit or has waited as long as it may.
+func (a *accountTokens) wait(ctx context.Context, waiter *tokenWaiter, since time.Time, most time.Duration) (Token, *Shortage) {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-waiter.ready:
@@ -207,7 +216,7 @@
 		}
 		request := wire.TokensRequest{Source: a.cache.Source(), Ask: a.cache.Ask(a.name, len(a.waiting), now)}
 		a.mu.Unlock()
-		a.ask(request)
+		go a.ask(request)
 	}
 }
 
@@ -232,11 +241,15 @@
 	a.lost = err != nil
 	switch {
 	case err != nil:
-		a.cache.Fail(askRetry, now)
+		a.cache.Fail(request.Ask.Seq, askRetry, now)
+	case request.Source != a.cache.Source():
+		// a late answer; its tokens are dead
 	case answer.Source != request.Source:
 		a.cache.Move(answer.Source)
 	case answer.Grant != nil:
 		a.cache.Apply(*answer.Grant, now)
+		a.settled = a.settled || answer.Grant.Tokens > 0
 		a.serve(now)
 	}
+	a.start(now)
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -15,6 +15,7 @@
 	sessions    map[sessionKey]*session
 	nextExpiry  time.Time // not after the first expiry of a session
 	short       int       // sessions whose last ask was not met
+	busy        bool      // is among the group's busy buckets
 }
 
 // sessionKey names the cache of one entry behind one agent.
@@ -28,8 +29,9 @@
 	seq         uint64
 	outstanding int
 	spent       uint64
-	short       bool // the last ask was not met
-	expires     time.Time
+	short       bool      // the last ask was not met
+	expires     time.Time // when its tokens can no longer be spent
+	forgotten   time.Time // when the session is forgotten
 }
 
 // fillMargin keeps the rate below the account's although the home's clock may run
@@ -61,7 +63,7 @@
 	b.level = max(0, min(b.level, room))
 }
 
-// expire forgets the sessions whose tokens can no longer be spent. The bucket
+// expire forgets tokens that can no longer be spent, and old sessions. The bucket
 // must be filled before, because an expired token leaves room from now on only.
 func (b *bucket) expire(now time.Time) {
 	if len(b.sessions) == 0 || now.Before(b.nextExpiry) {
@@ -69,14 +71,25 @@
 	}
 	b.nextExpiry = time.Time{}
 	for key, s := range b.sessions {
-		if !now.Before(s.expires) {
+		if s.outstanding > 0 && !now.Before(s.expires) {
 			b.outstanding -= s.outstanding
+			s.outstanding = 0
+		}
+		if !now.Before(s.forgotten) {
 			b.setShort(s, false)
 			delete(b.sessions, key)
 			continue
 		}
-		b.noteExpiry(s.expires)
+		b.noteExpiry(s.next())
+	}
+}
+
+// next returns when the session has to be looked at again.
+func (s *session) next() time.Time {
+	if s.outstanding > 0 {
+		return earlier(s.expires, s.forgotten)
 	}
+	return s.forgotten
 }
 
 func (b *bucket) noteExpiry(expires time.Time) {
@@ -132,22 +145,30 @@
 	spareParts    = 4
 	shortestWait  = 5 * time.Millisecond
 	longestWait   = 250 * time.Millisecond
+	unsettledWait = 20 * time.Millisecond // while no right is lent or the account is not known yet
 	promptReport  = 10 * time.Millisecond
-	relaxedReport = 2 // of these in a token's life
+	fullLevel     = 0.5  // of the capacity
+	scarceRoom    = 0.75 // of the capacity
 )
 
 // grant takes tokens out of the level: first for waiting requests, then, while
 // the bucket is more than half full, for requests to come.
 func (b *bucket) grant(s *session, ask Ask, weight float64, terms Terms, now time.Time) Grant {
 	tokens := min(ask.Waiting, int(b.level))
-	tokens += min(ask.Spare, b.spare(b.level-float64(tokens), weight))
+	spare := min(ask.Spare, b.spare(b.level-float64(tokens), weight))
+	life := terms.prompt()
+	if spare > 0 || s.outstanding > 0 {
+		life = terms.Life
+	}
+	b.setShort(s, tokens < ask.Waiting)
+	tokens += spare
 	b.level -= float64(tokens)
 	b.outstanding += tokens
 	s.outstanding += tokens
-	s.expires = now.Add(terms.granted())
-	b.noteExpiry(s.expires)
-	b.setShort(s, tokens < ask.Waiting)
-	return Grant{Account: ask.Account, Seq: ask.Seq, Tokens: tokens, Wait: b.wait(s, weight), Report: b.report(weight, terms)}
+	s.expires = later(s.expires, now.Add(withMargin(life)))
+	s.forgotten = now.Add(withMargin(terms.Life))
+	b.noteExpiry(s.next())
+	return Grant{Account: ask.Account, Seq: ask.Seq, Tokens: tokens, Life: life, Wait: b.wait(s, weight), Report: b.report(weight)}
 }
 
 // spare returns how many of the remaining tokens one cache may get for requests to come.
@@ -166,16 +187,18 @@
 	}
 	rate := b.quota.Rate * weight
 	if rate <= 0 {
-		return longestWait
+		return unsettledWait
 	}
 	perToken := time.Duration(float64(b.short) / rate * float64(time.Second))
 	return min(max(perToken, shortestWait), longestWait)
 }
 
-// report is short while spent tokens that were not reported hold back the bucket.
-func (b *bucket) report(weight float64, terms Terms) time.Duration {
-	if float64(b.outstanding) > spareShare*b.quota.capacity(weight) {
-		return promptReport
+// report asks for prompt reports while tokens that were spent but not reported
+// leave little room in the bucket. Otherwise they may as well expire.
+func (b *bucket) report(weight float64) time.Duration {
+	size := b.quota.capacity(weight)
+	if b.level > fullLevel*size || b.level+float64(b.outstanding) < scarceRoom*size {
+		return 0
 	}
-	return terms.Life / relaxedReport
+	return promptReport
 }
--- a/limit/cache.go
+++ b/limit/cache.go
@@ -14,15 +14,18 @@
 	terms   Terms
 	source  Source
 	session uint64
-	seq     uint64
+	seq     uint64 // of the latest ask, of whatever session
 	spent   uint64 // in this session
 	batch   *batch // of this session
 	retired *batch // of the session before
 	asked   time.Time
 	asking  bool
-	quiet   time.Time // no use in asking before
-	report  time.Time // when to report spent tokens; zero if there is nothing to report
-	within  time.Duration
+	quiet   time.Time     // no use in asking before
+	retry   time.Time     // no ask before, because the last one failed
+	report  time.Time     // when to report spent tokens; zero if there is nothing to report
+	life    time.Duration // of the tokens of the last reply
+	within  time.Duration // for reports; 0 for no need
+	latency time.Duration // of replies, smoothed; doubled by each that does not come
 	demand  demand
 }
 
@@ -41,7 +44,7 @@
 // NewCache returns a cache without tokens. The session number must never have
 // been used by this VM before.
 func NewCache(terms Terms, session uint64) *Cache {
-	return &Cache{terms: terms, session: session, batch: &batch{}, retired: &batch{}}
+	return &Cache{terms: terms, session: session, batch: &batch{}, retired: &batch{}, latency: firstLatency}
 }
 
 // Arrive counts a request for the estimate of the demand.
@@ -74,7 +77,7 @@
 }
 
 func (c *Cache) reportWithin(now time.Time) {
-	if c.report.IsZero() {
+	if c.report.IsZero() && c.within > 0 {
 		c.report = now.Add(c.within)
 	}
 }
@@ -90,9 +93,21 @@
 
 // Asking reports whether a reply is awaited.
 func (c *Cache) Asking(now time.Time) bool {
-	return c.asking && now.Sub(c.asked) < c.terms.Life
+	return c.asking && now.Sub(c.asked) < c.patience()
 }
 
+// patience is how long a reply is awaited before the next ask is sent.
+func (c *Cache) patience() time.Duration {
+	return min(max(patienceFactor*c.latency, shortestPatience), c.terms.Life)
+}
+
+const (
+	patienceFactor   = 4
+	shortestPatience = 25 * time.Millisecond
+	firstLatency     = 10 * time.Millisecond
+	latencyWeight    = 8 // one reply counts an eighth
+)
+
 // Due returns when the next ask should be sent, given the number of requests
 // that wait for a token. ok is false if there is none to send.
 func (c *Cache) Due(now time.Time, waiting int) (at time.Time, ok bool) {
@@ -102,18 +117,28 @@
 	if !c.report.IsZero() && (!ok || c.report.Before(at)) {
 		at, ok = c.report, true
 	}
+	if waiting == 0 && c.unwanted(now) {
+		at, ok = now, true
+	}
 	if c.holding(now) {
-		renew := c.batch.expires.Add(-c.terms.Life / 2)
+		renew := c.batch.expires.Add(-c.life / 2)
 		if !ok || renew.Before(at) {
 			at, ok = renew, true
 		}
 	}
+	at = later(at, c.retry)
 	if ok && c.Asking(now) {
-		at = later(at, c.asked.Add(c.terms.Life))
+		at = later(at, c.asked.Add(c.patience()))
 	}
 	return at, ok
 }
 
+// unwanted reports whether tokens came for requests that wait no longer. Giving
+// them back at once is better than to let them expire.
+func (c *Cache) unwanted(now time.Time) bool {
+	return c.batch.free > 0 && c.batch.valid(now) && c.life < c.terms.Life
+}
+
 func (c *Cache) holding(now time.Time) bool {
 	return c.batch.valid(now) && c.batch.free+c.batch.reserved > 0
 }
@@ -129,9 +154,12 @@
 // Tokens beyond the demand are given back with it.
 func (c *Cache) Ask(account string, waiting int, now time.Time) Ask {
 	c.expire(now)
+	if c.asking {
+		c.latency = min(2*c.latency, c.terms.Life)
+	}
 	c.seq++
 	c.asked, c.asking, c.report = now, true, time.Time{}
-	spare := c.demand.expected(now, c.terms.Life)
+	spare := c.demand.expected(now, c.terms.Life/2)
 	c.batch.free = min(c.batch.free, spare)
 	return Ask{
 		Account: account, Session: c.session, Seq: c.seq,
@@ -153,21 +181,26 @@
 		return
 	}
 	c.asking = false
+	c.latency += (now.Sub(c.asked) - c.latency) / latencyWeight
 	c.within = grant.Report
 	c.quiet = now.Add(grant.Wait)
 	c.expire(now)
-	expires := c.asked.Add(c.terms.Life)
+	expires := later(c.batch.expires, c.asked.Add(min(grant.Life, c.terms.Life)))
 	if !now.Before(expires) {
 		return
 	}
 	c.batch.free += grant.Tokens
 	c.batch.expires = expires
+	c.life = grant.Life
 }
 
-// Fail ends an ask without a reply; the next one should come after wait.
-func (c *Cache) Fail(wait time.Duration, now time.Time) {
-	c.asking = false
-	c.quiet = now.Add(wait)
+// Fail ends the ask with the given number, which gets no reply, if it is the
+// latest. The next one is due after wait at the soonest.
+func (c *Cache) Fail(seq uint64, wait time.Duration, now time.Time) {
+	if seq == c.seq {
+		c.asking = false
+		c.retry = now.Add(wait)
+	}
 }
 
 // Source returns where the tokens of this session come from.
@@ -177,7 +210,7 @@
 func (c *Cache) Move(source Source) {
 	c.source = source
 	c.session++
-	c.seq, c.spent, c.asking, c.report = 0, 0, false, time.Time{}
+	c.spent, c.asking, c.report = 0, false, time.Time{}
 	c.retired, c.batch = c.batch, &batch{}
 }
 
@@ -202,7 +235,7 @@
 }
 
 // negligibleDemand is the expected number of requests that no token is held for.
-const negligibleDemand = 0.3
+const negligibleDemand = 0.8
 
 // expected returns the number of requests to expect within the span.
 func (d *demand) expected(now time.Time, span time.Duration) int {
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -65,12 +65,32 @@
 	late         float64       // part that is delayed by up to lateBy
 	lateBy       time.Duration // so that messages overtake each other
 	cut          func(from, to int) bool
+	delay        func(from, to int) time.Duration
 }
 
-const (
-	shortestDelay = time.Millisecond
-	longestDelay  = 5 * time.Millisecond
-)
+// deliver returns the delays of the copies of a message that arrive.
+func (w *world) deliver(net *network, from, to int) []time.Duration {
+	var delays []time.Duration
+	copies := 1
+	if w.random.Float64() < net.double {
+		copies = 2
+	}
+	for range copies {
+		if w.random.Float64() < net.loss || net.cut(from, to) {
+			continue
+		}
+		delay := net.delay(from, to)
+		if net.late > 0 && w.random.Float64() < net.late {
+			delay += time.Duration(w.random.Int64N(int64(net.lateBy)))
+		}
+		delays = append(delays, delay)
+	}
+	return delays
+}
+
+func (w *world) between(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(w.random.Int64N(int64(longest-shortest)))
+}
 
 // meter checks the bound on every window of one account: usage <= burst + rate*length.
 type meter struct {
@@ -116,24 +136,22 @@
 // fleet simulates VMs that share accounts by lent shares.
 type fleet struct {
 	*world
-	net      network
-	terms    Terms
-	quotas   map[string]Quota
-	nodes    []*node
-	ledger   Ledger
-	meters   map[string]*meter
-	wait     time.Duration // that a request waits for a token
-	messages int
-	waited   int
-	waits    time.Duration
+	net    network
+	terms  Terms
+	quotas map[string]Quota
+	nodes  []*node
+	ledger Ledger
+	meters map[string]*meter
+	wait   time.Duration // that a request waits for a token
+	waited int
+	waits  time.Duration
 
 	spendsStale  bool // control: a holder does not compare times after a pause
 	lendsAnyway  bool // control: a right is lent without waiting for its term
 	shareless    int  // nodes from this index on hold no share
 	storeGone    bool
 	nextStart    uint64
-	bytesOf      func(any) int
-	bytes        int
+	observe      func(message any) // called with every message between VMs
 	refusedCount int
 }
 
@@ -168,7 +186,8 @@
 func newFleet(w *world, vms int, terms Terms, quotas map[string]Quota, clockError float64) *fleet {
 	f := &fleet{
 		world: w, terms: terms, quotas: quotas, ledger: NewLedger(), meters: map[string]*meter{},
-		wait: 100 * time.Millisecond, shareless: vms, net: network{cut: func(int, int) bool { return false }},
+		wait: 100 * time.Millisecond, shareless: vms,
+		net: network{cut: func(int, int) bool { return false }, delay: func(int, int) time.Duration { return w.between(time.Millisecond, 5*time.Millisecond) }},
 	}
 	f.ledger.Version = 1
 	for account, quota := range quotas {
@@ -319,22 +338,10 @@
 		deliver()
 		return
 	}
-	f.messages++
-	if f.bytesOf != nil {
-		f.bytes += f.bytesOf(message)
-	}
-	copies := 1
-	if f.random.Float64() < f.net.double {
-		copies = 2
+	if f.observe != nil {
+		f.observe(message)
 	}
-	for range copies {
-		if f.random.Float64() < f.net.loss || f.net.cut(from.index, to.index) {
-			continue
-		}
-		delay := shortestDelay + time.Duration(f.random.Int64N(int64(longestDelay-shortestDelay)))
-		if f.net.late > 0 && f.random.Float64() < f.net.late {
-			delay += time.Duration(f.random.Int64N(int64(f.net.lateBy)))
-		}
+	for _, delay := range f.deliver(&f.net, from.index, to.index) {
 		to.after(delay, deliver)
 	}
 }
@@ -351,7 +358,7 @@
 
 func (n *node) failAsks(out Outgoing) {
 	for _, ask := range out.Exchange.Asks {
-		n.cache(ask.Account).Fail(0, n.clock())
+		n.cache(ask.Account).Fail(ask.Seq, 0, n.clock())
 		n.pump(ask.Account)
 	}
 }
@@ -470,6 +477,7 @@
 		return
 	}
 	n.ask(account, now)
+	n.pump(account) // for the case that no reply comes
 }
 
 func (n *node) ask(account string, now time.Time) {
@@ -478,8 +486,7 @@
 	source := n.lender.Source(group)
 	if source == 0 {
 		n.send(n.lender.Prepare(group, nil, now))
-		c.Fail(10*time.Millisecond, now)
-		n.after(11*time.Millisecond, func() { n.pump(account) })
+		c.Fail(c.seq, 10*time.Millisecond, now)
 		return
 	}
 	if c.Source() != source {
--- a/limit/home.go
+++ b/limit/home.go
@@ -6,7 +6,6 @@
 type Home struct {
 	terms       Terms
 	incarnation uint64
-	quotas      map[string]Quota
 	ledger      Ledger
 	groups      [Groups]group
 	leaving     bool
@@ -14,15 +13,22 @@
 
 // NewHome returns a home without rights.
 func NewHome(terms Terms, incarnation uint64) *Home {
-	return &Home{terms: terms, incarnation: incarnation, quotas: map[string]Quota{}}
+	return &Home{terms: terms, incarnation: incarnation}
 }
 
 // SetQuotas replaces the rates and bursts of all accounts.
 func (h *Home) SetQuotas(quotas map[string]Quota, now time.Time) {
-	h.quotas = quotas
+	var byGroup [Groups]map[string]Quota
+	for account, quota := range quotas {
+		i := GroupOf(account)
+		if byGroup[i] == nil {
+			byGroup[i] = map[string]Quota{}
+		}
+		byGroup[i][account] = quota
+	}
 	for i := range h.groups {
 		h.groups[i].advance(now)
-		h.groups[i].setQuotas(quotas)
+		h.groups[i].setQuotas(byGroup[i])
 	}
 }
 
@@ -79,7 +85,9 @@
 		}
 	}
 	for _, ask := range m.Asks {
-		reply.Grants = append(reply.Grants, h.answer(g, m.From, ask, now))
+		if grant, ok := h.answer(g, m.From, ask, now); ok {
+			reply.Grants = append(reply.Grants, grant)
+		}
 	}
 	return reply
 }
@@ -92,21 +100,22 @@
 	return h.ledger.weight(lend.Holder) >= lend.weight()
 }
 
-func (h *Home) answer(g *group, from VM, ask Ask, now time.Time) Grant {
-	quota, ok := h.quotas[ask.Account]
-	if !ok {
-		return Grant{Account: ask.Account, Seq: ask.Seq, Wait: longestWait}
+// answer grants tokens for an ask. ok is false if the ask is not the newest.
+func (h *Home) answer(g *group, from VM, ask Ask, now time.Time) (grant Grant, ok bool) {
+	b := g.buckets[ask.Account]
+	if b == nil {
+		return Grant{Account: ask.Account, Seq: ask.Seq, Wait: unsettledWait}, true
 	}
-	b := g.bucket(ask.Account, quota)
 	b.fill(g.integral, g.weight)
 	b.expire(now)
+	g.noteBusy(b)
 	s := b.session(sessionKey{from: from, id: ask.Session}, ask.Seq)
 	if s == nil {
-		return Grant{Account: ask.Account, Seq: ask.Seq}
+		return Grant{}, false
 	}
 	b.settle(s, ask)
 	b.clip(g.weight)
-	return b.grant(s, ask, g.weight, h.terms, now)
+	return b.grant(s, ask, g.weight, h.terms, now), true
 }
 
 // Weight returns the sum of the rights that the home may use for a group at the given time.
@@ -147,7 +156,11 @@
 	integral float64              // of the weight over time, in seconds
 	at       time.Time            // up to which the integral counts
 	nextEnd  time.Time            // not after the end of any right
-	buckets  map[string]*bucket
+	quotas   map[string]Quota
+	buckets  map[string]*bucket // of all accounts, once a right was lent
+	complete bool               // no account lacks a bucket
+	busy     []*bucket          // those that have sessions
+	swept    time.Time          // when the busy buckets were last looked through
 }
 
 // right is a lend until its end.
@@ -163,6 +176,38 @@
 		g.removeEnded(g.nextEnd)
 	}
 	g.integrate(now)
+	if now.Sub(g.swept) >= sweepPeriod {
+		g.swept = now
+		g.sweep(now)
+	}
+}
+
+// sweepPeriod is how late a bucket may notice that tokens expired. Until then it
+// fills as if they could still be spent.
+const sweepPeriod = 20 * time.Millisecond
+
+// sweep lets tokens expire in buckets that nobody asks.
+func (g *group) sweep(now time.Time) {
+	kept := g.busy[:0]
+	for _, b := range g.busy {
+		if !now.Before(b.nextExpiry) {
+			b.fill(g.integral, g.weight)
+			b.expire(now)
+		}
+		b.busy = len(b.sessions) > 0
+		if b.busy {
+			kept = append(kept, b)
+		}
+	}
+	clear(g.busy[len(kept):])
+	g.busy = kept
+}
+
+func (g *group) noteBusy(b *bucket) {
+	if !b.busy {
+		b.busy = true
+		g.busy = append(g.busy, b)
+	}
 }
 
 func (g *group) integrate(to time.Time) {
@@ -270,25 +315,29 @@
 	g.setWeight()
 	g.setNextEnd()
 	g.clipAll()
+	g.addBuckets()
 }
 
-// bucket returns the account's bucket; a new one is empty.
-func (g *group) bucket(account string, quota Quota) *bucket {
-	b := g.buckets[account]
-	if b != nil {
-		return b
+// addBuckets adds the buckets of accounts that have none. A new bucket is empty.
+func (g *group) addBuckets() {
+	if len(g.rights) == 0 || g.complete {
+		return
 	}
 	if g.buckets == nil {
-		g.buckets = map[string]*bucket{}
+		g.buckets = make(map[string]*bucket, len(g.quotas))
+	}
+	for account, quota := range g.quotas {
+		if g.buckets[account] == nil {
+			g.buckets[account] = &bucket{quota: quota, filledTo: g.integral, sessions: map[sessionKey]*session{}}
+		}
 	}
-	b = &bucket{quota: quota, filledTo: g.integral, sessions: map[sessionKey]*session{}}
-	g.buckets[account] = b
-	return b
+	g.complete = true
 }
 
 // setQuotas changes the buckets' rates and bursts. An account that is gone is
 // forgotten once none of its tokens can be spent.
 func (g *group) setQuotas(quotas map[string]Quota) {
+	g.quotas, g.complete = quotas, false
 	for account, b := range g.buckets {
 		b.fill(g.integral, g.weight)
 		b.expire(g.at)
@@ -298,4 +347,5 @@
 			delete(g.buckets, account)
 		}
 	}
+	g.addBuckets()
 }
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -45,6 +45,7 @@
 	stamp       int64
 	heard       time.Time
 	failing     time.Time // since when exchanges fail; zero while they succeed
+	failures    int       // exchanges that failed since then
 	suspect     bool
 	tried       time.Time // last exchange prepared
 }
@@ -62,8 +63,10 @@
 	ExchangePeriod = 500 * time.Millisecond
 	// SuspectAfter is how long exchanges with a home may fail until its groups
 	// move to other homes.
-	SuspectAfter = 600 * time.Millisecond
-	pingPeriod   = time.Second // of exchanges with suspected homes
+	SuspectAfter    = 600 * time.Millisecond
+	suspectFailures = 3                      // at least, one after the other
+	retryPeriod     = 150 * time.Millisecond // of exchanges with a home that did not answer last
+	pingPeriod      = time.Second            // of exchanges with suspected homes
 )
 
 // NewLender returns a lender that knows no other VM and has nothing to lend.
@@ -180,7 +183,8 @@
 }
 
 // Prepare returns an exchange with the home of a group that carries the given
-// asks, and lends the rights if they are free.
+// asks, and lends the rights if they are free. Nothing is lent to a home that did
+// not answer last: that would only delay the next home.
 func (l *Lender) Prepare(group int, asks []Ask, now time.Time) Outgoing {
 	target := l.Target(group)
 	out := l.exchange(target, group, now)
@@ -188,7 +192,7 @@
 	g := &l.groups[group]
 	g.exchanged = now
 	p := l.peer(target)
-	if p.incarnation == 0 || !l.usable(now) || !g.free(target, p.incarnation, now) {
+	if p.incarnation == 0 || !p.failing.IsZero() || !l.usable(now) || !g.free(target, p.incarnation, now) {
 		return out
 	}
 	g.home, g.incarnation, g.lastLend = target, p.incarnation, out.number
@@ -227,13 +231,13 @@
 	var due []Outgoing
 	for i := range l.groups {
 		g := &l.groups[i]
-		if !l.active[i] && !now.Before(g.until) {
+		if !l.active[i] && !now.Before(g.until) && l.Source(i) != 0 {
 			continue
 		}
 		if l.lentElsewhere(i, now) && now.Sub(g.withdrawn) >= ExchangePeriod {
 			due = append(due, l.withdraw(i, now))
 		}
-		if now.Sub(g.exchanged) >= ExchangePeriod {
+		if now.Sub(g.exchanged) >= l.period(i) {
 			due = append(due, l.Prepare(i, nil, now))
 		}
 	}
@@ -246,6 +250,14 @@
 	return append(due, l.confirmWithPeer(now)...)
 }
 
+// period is how often exchanges with the home of a group are due.
+func (l *Lender) period(group int) time.Duration {
+	if p := l.peers[l.Target(group)]; p != nil && !p.failing.IsZero() {
+		return retryPeriod
+	}
+	return ExchangePeriod
+}
+
 // confirmWithPeer contacts one member after the other when no exchange with a peer
 // was due for long, as in a small fleet in which this VM is home of all groups.
 func (l *Lender) confirmWithPeer(now time.Time) []Outgoing {
@@ -289,11 +301,15 @@
 	if out.To != l.self.Name {
 		l.confirm(reply.Ledger, now)
 	}
-	restarted := reply.Home != p.incarnation && p.incarnation != 0
+	known := p.incarnation
+	restarted := reply.Home != known && known != 0
 	if reply.Home != p.incarnation || reply.Stamp > p.stamp {
 		p.incarnation, p.stamp = reply.Home, reply.Stamp
 	}
-	p.heard, p.failing = now, time.Time{}
+	if !p.failing.IsZero() || reply.Home != known {
+		l.renewSoon(out.To)
+	}
+	p.heard, p.failing, p.failures = now, time.Time{}, 0
 	l.setSuspect(p, false)
 	if restarted {
 		l.freeAfterRestart(out.To, reply.Home, now)
@@ -308,6 +324,15 @@
 	return reply.Disowned
 }
 
+// renewSoon makes exchanges with a home due that answers again.
+func (l *Lender) renewSoon(home string) {
+	for i := range l.groups {
+		if l.Target(i) == home {
+			l.groups[i].exchanged = time.Time{}
+		}
+	}
+}
+
 // freeAfterRestart shortens the terms of a home that a younger incarnation replaced.
 func (l *Lender) freeAfterRestart(home string, incarnation uint64, now time.Time) {
 	for i := range l.groups {
@@ -327,7 +352,8 @@
 	if p.failing.IsZero() {
 		p.failing = out.prepared
 	}
-	if now.Sub(p.failing) >= SuspectAfter {
+	p.failures++
+	if now.Sub(p.failing) >= SuspectAfter && p.failures >= suspectFailures {
 		l.setSuspect(p, true)
 	}
 }
--- a/limit/message.go
+++ b/limit/message.go
@@ -52,7 +52,7 @@
 type Ask struct {
 	Account string `json:"a"`
 	Session uint64 `json:"s"` // of the cache with one source
-	Seq     uint64 `json:"q"` // rises with each ask of the session
+	Seq     uint64 `json:"q"` // rises with each ask of the cache
 	Held    int    `json:"h,omitempty"`
 	Spent   uint64 `json:"u,omitempty"` // since the session began
 	Waiting int    `json:"w,omitempty"` // requests that wait for a token
@@ -75,6 +75,7 @@
 	Account string        `json:"a"`
 	Seq     uint64        `json:"q"`
 	Tokens  int           `json:"k,omitempty"`
+	Life    time.Duration `json:"l,omitempty"` // from when the ask was made
 	Wait    time.Duration `json:"w,omitempty"` // until asking again makes sense
-	Report  time.Duration `json:"r,omitempty"` // within which spent tokens should be reported
+	Report  time.Duration `json:"r,omitempty"` // within which spent tokens should be reported; 0 for no need
 }
--- a/limit/terms.go
+++ b/limit/terms.go
@@ -6,7 +6,7 @@
 type Terms struct {
 	// Lend is how long a home may use a right after the stamp that the lender returned.
 	Lend time.Duration `json:"l"`
-	// Life is how long a token may be spent after the cache asked for it.
+	// Life is the longest time that a token may be spent after the cache asked for it.
 	Life time.Duration `json:"e"`
 }
 
@@ -28,8 +28,13 @@
 // Quarantine is how long a restarted VM leaves its predecessor's shares alone.
 func (t Terms) Quarantine() time.Duration { return withMargin(t.Lend + t.Life) }
 
-// granted is how long a home counts a token as outstanding.
-func (t Terms) granted() time.Duration { return withMargin(t.Life) }
+// promptLife is the life of tokens for requests that wait. They are spent as soon
+// as they arrive, and the shorter they count as outstanding the sooner the bucket
+// fills again.
+const promptLife = 100 * time.Millisecond
+
+// prompt returns promptLife, or Life if that is shorter.
+func (t Terms) prompt() time.Duration { return min(promptLife, t.Life) }
 
 // lent is how long a lender counts a right as lent after it prepared the message.
 func (t Terms) lent() time.Duration { return withMargin(t.Lend + t.Life) }
