--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 
 	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/limit"
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -20,6 +21,7 @@
 	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
 	Admin    string `yaml:"admin" validate:"hostname_port"`
 	Platform string `yaml:"platform" validate:"http_url"`
+	Profile  bool   `yaml:"profile"` // serves runtime profiles on the admin address
 
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
@@ -37,6 +39,11 @@
 	return s.ReclaimAfter.Std()
 }
 
+// member returns this VM as its peers are told of it.
+func (s Settings) member() membership.Member {
+	return membership.Member{Name: s.VM, Zone: s.Zone, Address: s.Listen}
+}
+
 // Agent is the control plane of one VM.
 type Agent struct {
 	settings Settings
@@ -56,9 +63,9 @@
 	agent := &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
 		state: newState(), claims: newClaims(store),
-		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
+		peers: newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now),
 	}
-	agent.lending = newLending(settings.VM, agent.peers, agent.state, log, events)
+	agent.lending = newLending(agent.peers, agent.state, log, events)
 	return agent
 }
 
@@ -67,6 +74,9 @@
 	serving, stop := context.WithCancel(context.Background()) // until the shares are returned
 	defer stop()
 	admin := daemon.NewAdmin(a.events)
+	if a.settings.Profile {
+		admin.EnableProfiling()
+	}
 	if err := admin.Start(serving, a.settings.Admin); err != nil {
 		return err
 	}
@@ -77,6 +87,7 @@
 	go a.handlers().Serve(serving, listener)
 	go a.followDocument(ctx)
 	go a.followMembers(ctx)
+	go a.exchangeWithPeers(ctx)
 	go a.lending.run(serving)
 	shares := newShares(a)
 	go shares.run(ctx)
@@ -93,9 +104,10 @@
 func (a *Agent) handlers() *wire.Handlers {
 	handlers := wire.NewHandlers(a.events.Clock())
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
+	wire.Handle(handlers, wire.MethodExchange, a.exchange)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
-	wire.Handle(handlers, wire.MethodExchange, a.lending.exchange)
+	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
 	return handlers
 }
--- a/agent/lending.go
+++ b/agent/lending.go
@@ -38,8 +38,8 @@
 	disowned chan struct{} // holds one value while the ledger must be read again
 }
 
-func newLending(vm string, peers *peers, state *state, log *zap.Logger, events *timeline.Ring) *lending {
-	self := limit.VM{Name: vm, Incarnation: uint64(time.Now().UnixMilli())}
+func newLending(peers *peers, state *state, log *zap.Logger, events *timeline.Ring) *lending {
+	self := limit.VM{Name: peers.self, Incarnation: peers.incarnation()}
 	return &lending{
 		peers: peers, state: state, log: log, events: events, terms: limit.DefaultTerms, self: self,
 		now:    daemon.Monotonic,
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.terms.Life)
 	defer cancel()
-	err := l.peers.client(member).Call(ctx, wire.MethodExchange, out.Exchange, &reply)
+	err := l.peers.client(member).Call(ctx, wire.MethodLend, out.Exchange, &reply)
 	return reply, err
 }
 
@@ -134,7 +134,7 @@
 	}
 }
 
-// exchange answers wire.MethodExchange as the home.
+// exchange answers wire.MethodLend as the home.
 func (l *lending) exchange(_ context.Context, m limit.Exchange) (limit.Reply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/agent/shares.go
+++ b/agent/shares.go
@@ -133,7 +133,10 @@
 	if err != nil {
 		return ledger, false, err
 	}
-	members := len(s.lending.peers.inService())
+	members, err := s.serving(ctx)
+	if err != nil {
+		return ledger, freed, nil // how much to hold is not known
+	}
 	if s.excess.shares == 0 {
 		s.excess.shares = ledger.Excess(self, members)
 	} else if s.excess.free(s.lending.now()) {
@@ -143,6 +146,18 @@
 	return next, changed || freed, nil
 }
 
+// serving returns the number of VMs of the platform's list that are not leaving.
+func (s *shares) serving(ctx context.Context) (int, error) {
+	vms, err := s.vms.VMs(ctx)
+	serving := 0
+	for _, vm := range vms {
+		if !vm.Leaving {
+			serving++
+		}
+	}
+	return serving, err
+}
+
 // reclaim frees the shares of VMs that are gone, if that is this VM's task.
 func (s *shares) reclaim(ctx context.Context, ledger *limit.Ledger) (freed bool, err error) {
 	if _, self, ok := s.lending.peers.home(reclaimKey); !ok || !self {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"lacewingmount.dev/config"
 )
 
@@ -21,6 +24,8 @@
 	// Reserve returns a token for a request of the account, or the shortage
 	// that stands in its way.
 	Reserve(ctx context.Context, account string) (Token, *Shortage)
+	// TryReserve is Reserve without waiting.
+	TryReserve(account string) (Token, *Shortage)
 }
 
 // Token is the right to send one request. It is spent or released, once.
@@ -56,7 +61,7 @@
 	if shortage != nil {
 		return shortage.refusal(x.Account)
 	}
-	x.permit = &permit{token: token, admitter: s.admitter}
+	x.permit = &permit{admitter: s.admitter, account: x.Account.Name, token: token}
 	return nil
 }
 
@@ -68,35 +73,58 @@
 	return notRun(http.StatusTooManyRequests, ReasonRate, "the client account is over its rate and burst").after(wait)
 }
 
-// permit is the token of one exchange until it is spent.
+// errNoToken ends an attempt whose request may not leave.
+var errNoToken = errors.New("the token expired and there is no other")
+
+// permit is the token of one exchange until it is spent. The nil permit lets
+// every request through; it is that of open routes.
 type permit struct {
-	token    Token
 	admitter Admitter
+	account  string
+	mu       sync.Mutex
+	token    Token
 	spent    bool
+	shortage *Shortage // why the token could not be replaced
 }
 
-// spend is called right before the request leaves. A token that expired on the
-// way, as in a long queue, is replaced if there is another.
-func (x *Exchange) spend() *Refusal {
-	p := x.permit
-	if p == nil || p.spent {
+// spend is called right before the first byte of a request leaves. It uses up
+// the token once for all attempts; one that expired on the way is replaced if
+// there is another at hand.
+func (p *permit) spend() error {
+	if p == nil {
 		return nil
 	}
-	for !p.token.Spend() {
-		token, shortage := p.admitter.Reserve(x.Request.Context(), x.Account.Name)
-		if shortage != nil {
-			x.permit = nil
-			return shortage.refusal(x.Account)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !p.spent && p.token != nil {
+		if p.token.Spend() {
+			p.spent = true
+			break
 		}
-		p.token = token
+		p.token, p.shortage = p.admitter.TryReserve(p.account)
+	}
+	if !p.spent {
+		return errNoToken
 	}
-	p.spent = true
 	return nil
 }
 
-// releasePermit gives back the token of a request that was never sent.
-func (x *Exchange) releasePermit() {
-	if x.permit != nil && !x.permit.spent {
-		x.permit.token.Release()
+// refusal says why spend failed.
+func (p *permit) refusal(account *config.ClientAccount) *Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shortage.refusal(account)
+}
+
+// release gives back the token of a request that was never sent.
+func (p *permit) release() {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.spent && p.token != nil {
+		p.token.Release()
+		p.token = nil
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	Listen     string          `yaml:"listen" validate:"hostname_port"` // callers
 	Admin      string          `yaml:"admin" validate:"hostname_port"`
 	Agent      string          `yaml:"agent" validate:"hostname_port"`
+	Profile    bool            `yaml:"profile"`     // serves runtime profiles on the admin address
 	DrainDelay daemon.Duration `yaml:"drain_delay"` // between not ready and the last new connection
 }
 
@@ -62,6 +63,9 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if e.settings.Profile {
+		e.admin.EnableProfiling()
+	}
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
@@ -108,7 +112,7 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
-	defer x.releasePermit()
+	defer func() { x.permit.release() }()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
--- a/entry/tokens.go
+++ b/entry/tokens.go
@@ -48,6 +48,18 @@
 	return token, nil
 }
 
+// TryReserve implements Admitter.
+func (t *TokenCache) TryReserve(account string) (Token, *Shortage) {
+	a := t.account(account)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.parent.now()
+	if permit, ok := a.cache.Reserve(now); ok {
+		return cachedToken{account: a, permit: permit}, nil
+	}
+	return nil, &Shortage{Lost: a.lost, Wait: a.cache.Quiet(now)}
+}
+
 func (t *TokenCache) account(name string) *accountTokens {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -19,6 +19,7 @@
 	from      time.Time // the rights are not lent earlier
 	confirmed time.Time // last contact with the store or a peer
 	members   []membership.Member
+	hadPeers  bool
 	active    [Groups]bool // groups that have accounts
 	signed    time.Time    // last exchange sent only to confirm the rights
 	asked     int          // index of the member that it went to
@@ -77,6 +78,7 @@
 // SetMembers replaces the VMs in service, this one included.
 func (l *Lender) SetMembers(members []membership.Member) {
 	l.members = members
+	l.hadPeers = l.hadPeers || len(members) > 1
 	l.targets = [Groups]string{}
 }
 
@@ -140,7 +142,7 @@
 	if l.leaving || len(l.rights) == 0 || now.Before(l.from) {
 		return false
 	}
-	return len(l.members) <= 1 || now.Sub(l.confirmed) <= ConfirmFor
+	return !l.hadPeers || now.Sub(l.confirmed) <= ConfirmFor
 }
 
 // Target returns the present home of a group in this VM's view.
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -6,9 +6,9 @@
 const (
 	// MethodTokens asks the VM's own agent for tokens; TokensRequest to TokensAnswer.
 	MethodTokens = "agent.tokens"
-	// MethodExchange lends rights to another agent and asks it for tokens;
+	// MethodLend lends rights to another agent and asks it for tokens;
 	// limit.Exchange to limit.Reply.
-	MethodExchange = "agent.exchange"
+	MethodLend = "agent.lend"
 )
 
 // TokensRequest asks for tokens of one account.
