--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -15,6 +15,9 @@
 //	put URL BODY         PUT JSON, for the control interfaces of stand-ins
 //	grant VAR ACCOUNT    grant a client key and keep it in $VAR
 //	ctl ARGS             run lacewingctl with the script's platform and credential
+//	mark NAME            start a window in which requests at backend servers are counted
+//	within NAME RATE BURST
+//	                     check that the window had at most BURST + RATE * its length
 //	expand FILE          replace $NET and other variables in a file
 //
 // VM i has its agent at $NET.100.i:7100 (admin 7101) and its entry at
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -51,6 +51,8 @@
 			"grant":      cmdGrant,
 			"ctl":        cmdCtl,
 			"expand":     cmdExpand,
+			"mark":       cmdMark,
+			"within":     cmdWithin,
 		},
 	})
 }
@@ -71,6 +73,7 @@
 	env.Setenv("PATH", binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Setenv("CREDENTIAL", "test-operator")
 	env.Values[processesKey{}] = newProcesses(env)
+	env.Values[marksKey{}] = map[string]usage{}
 	if _, err := os.Stat(filepath.Join(env.WorkDir, questionnaire)); err == nil {
 		return nil
 	}
