--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,7 +52,8 @@
 			identifyStage{},
 			admitStage{admitter: NewTokenCache(agent)},
 			claimStage{claimer: claimer},
-			newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
+			newQueueStage(claimer),
+			newForwardStage(shedPicker{NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano()))}, claimer),
 		},
 		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
@@ -112,7 +113,7 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
-	defer func() { x.permit.release() }()
+	defer func() { x.permit.release(); x.place.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -37,6 +37,7 @@
 	ReasonKey          Reason = "key"
 	ReasonRate         Reason = "rate"
 	ReasonRateUnknown  Reason = "rate-unknown"
+	ReasonBusy         Reason = "busy"
 	ReasonDuplicate    Reason = "duplicate"
 	ReasonClaim        Reason = "claim-unavailable"
 	ReasonNoServer     Reason = "no-server"
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -30,8 +30,10 @@
 	return &wire.KeptAnswer{Status: last.answer.StatusCode, ContentType: last.answer.Header.Get("Content-Type"), Body: last.body}
 }
 
-func (s *forwardStage) settle(request wire.SettleRequest) {
+func (s *forwardStage) settle(request wire.SettleRequest) { settle(s.claimer, request) }
+
+func settle(claimer Claimer, request wire.SettleRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	_ = s.claimer.Settle(ctx, request) // without a record, duplicates are told that the end is unknown
+	_ = claimer.Settle(ctx, request) // without a record, duplicates are told that the end is unknown
 }
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -30,6 +30,7 @@
 	Body      []byte             // whole body of a protected request
 	KeyHash   string             // of the caller's key, empty on open routes
 	permit    *permit            // nil on open routes
+	place     *place             // at the service, nil before the queue
 }
 
 // AccountName returns the name of the client account, or "" on open routes.
--- /dev/null
+++ b/limit/fairqueue_test.go
@@ -0,0 +1,191 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	queuePlaces    = 6
+	queueAccounts  = 8
+	queueService   = 25 * time.Millisecond
+	queueDeadline  = 500 * time.Millisecond
+	queueSpan      = 30 * time.Second
+	queueShare     = float64(queuePlaces*time.Second) / float64(queueService) / queueAccounts // requests/s of one account
+	worstServedMin = 0.95                                                                     // of what an account within its part sends
+)
+
+// serving drives a FairQueue: account 0 sends several times its part, the others
+// nine tenths of theirs.
+type serving struct {
+	*world
+	queue       *FairQueue[int]
+	flow        func(account int) string
+	arrived     map[int]time.Duration // of the requests that wait
+	owner       map[int]int
+	sent        [queueAccounts]int
+	served      [queueAccounts]int
+	late        int // served after they were due
+	lateRefusal time.Duration
+}
+
+func runServing(seed uint64, excess float64, flow func(int) string) *serving {
+	s := &serving{world: newWorld(seed), queue: NewFairQueue[int](queuePlaces), flow: flow, arrived: map[int]time.Duration{}, owner: map[int]int{}}
+	for account := range queueAccounts {
+		factor := 0.9
+		if account == 0 {
+			factor = excess
+		}
+		s.arrivals(account, queueShare*factor)
+	}
+	s.runUntil(queueSpan)
+	return s
+}
+
+func (s *serving) clock() time.Time { return epoch.Add(s.now) }
+
+func (s *serving) arrivals(account int, rate float64) {
+	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		s.arrivals(account, rate)
+		request := len(s.owner)
+		s.owner[request], s.arrived[request] = account, s.now
+		s.sent[account]++
+		decided := s.queue.Enter(s.flow(account), request, s.clock().Add(queueDeadline), s.clock())
+		switch decided.Entry {
+		case EntryStart:
+			s.start([]int{request})
+		case EntryWait:
+			s.at(decided.LastStart.Sub(epoch), func() { s.refuse(account, request) })
+		}
+	})
+}
+
+func (s *serving) refuse(account, request int) {
+	if s.queue.Abandon(s.flow(account), request) {
+		s.lateRefusal = max(s.lateRefusal, s.now-s.arrived[request])
+	}
+}
+
+func (s *serving) start(requests []int) {
+	for _, request := range requests {
+		account := s.owner[request]
+		held := queueService/2 + time.Duration(s.random.Int64N(int64(queueService)))
+		s.after(held, func() {
+			s.served[account]++
+			if s.now-s.arrived[request] > queueDeadline {
+				s.late++
+			}
+			start, late := s.queue.Leave(s.flow(account), held, s.clock())
+			for _, other := range late {
+				s.lateRefusal = max(s.lateRefusal, s.now-s.arrived[other])
+			}
+			s.start(start)
+		})
+	}
+}
+
+// worst is the smallest part of its requests that an account within its part got served.
+func (s *serving) worst() float64 {
+	worst := 1.0
+	for account := 1; account < queueAccounts; account++ {
+		worst = min(worst, float64(s.served[account])/float64(s.sent[account]))
+	}
+	return worst
+}
+
+func ownFlow(account int) string { return fmt.Sprint(account) }
+func oneFlow(int) string         { return "" }
+
+func TestProofRateFairQueue(t *testing.T) {
+	for _, excess := range []float64{1, 5, 20} {
+		s := runServing(20261204, excess, ownFlow)
+		total := 0
+		for _, served := range s.served {
+			total += served
+		}
+		t.Logf("one account at %.0f times its part: worst-served other account %.1f%%, %.1f%% of all places used, %d of %d late",
+			excess, 100*s.worst(), 100*float64(total)*queueService.Seconds()/queuePlaces/queueSpan.Seconds(), s.late, total)
+		if s.worst() < worstServedMin {
+			t.Errorf("an account within its part got only %.1f%%", 100*s.worst())
+		}
+		if s.lateRefusal > queueDeadline {
+			t.Errorf("a request was refused %v after it came, later than it was due", s.lateRefusal)
+		}
+	}
+}
+
+// TestControlRateFairQueue shows that the check notices a queue without flows.
+func TestControlRateFairQueue(t *testing.T) {
+	s := runServing(20261204, 5, oneFlow)
+	t.Logf("worst-served account of a single queue: %.1f%%", 100*s.worst())
+	if s.worst() >= worstServedMin {
+		t.Fatal("the check does not notice that accounts share one queue")
+	}
+}
+
+func TestFairQueueChargesTheTimeThatPlacesAreHeld(t *testing.T) {
+	q := NewFairQueue[int](1)
+	now := epoch
+	q.Enter("long", 0, time.Time{}, now)
+	for range 64 { // long requests hold a place ten times as long as short ones
+		q.flow("long").cost.add(100 * time.Millisecond)
+		q.flow("short").cost.add(10 * time.Millisecond)
+		q.mean.add(50 * time.Millisecond)
+	}
+	for i := range 400 {
+		q.Enter([]string{"long", "short"}[i%2], i+1, time.Time{}, now)
+	}
+	counts := map[string]int{}
+	account := "long"
+	for range 110 {
+		start, _ := q.Leave(account, map[string]time.Duration{"long": 100 * time.Millisecond, "short": 10 * time.Millisecond}[account], now)
+		account = []string{"short", "long"}[start[0]%2]
+		counts[account]++
+	}
+	if ratio := float64(counts["short"]) / float64(counts["long"]); ratio < 8 || ratio > 12 {
+		t.Fatalf("%v: short requests should get about ten turns for each long one", counts)
+	}
+}
+
+func TestFairQueueRefusesWhatCannotEndInTime(t *testing.T) {
+	q, now := NewFairQueue[int](1), epoch
+	for range 64 {
+		q.mean.add(100 * time.Millisecond)
+	}
+	due := now.Add(350 * time.Millisecond)
+	for request, want := range []Entry{EntryStart, EntryWait, EntryWait, EntryTooLate} {
+		if got := q.Enter("a", request, due, now).Entry; got != want {
+			t.Fatalf("request %d: %v, want %v", request, got, want)
+		}
+	}
+	if !q.Abandon("a", 2) || q.Abandon("a", 2) || q.Waiting() != 1 {
+		t.Fatal("a waiting request is abandoned exactly once")
+	}
+	start, late := q.Leave("a", 100*time.Millisecond, now.Add(300*time.Millisecond))
+	if len(start) != 0 || len(late) != 1 {
+		t.Fatalf("started %v, late %v; the last request can no longer end in time", start, late)
+	}
+}
+
+func TestPlacesFallToTheShareAndRise(t *testing.T) {
+	var p Places
+	p.SetSlots(72, 48)
+	if p.Limit() != 72 {
+		t.Fatalf("limit %d while nothing is shed, want all slots", p.Limit())
+	}
+	now := epoch
+	for range 50 {
+		now = now.Add(cutPeriod)
+		p.Shed(p.Limit(), now)
+	}
+	if p.Limit() != 1 {
+		t.Fatalf("limit %d after many sheds, want the share of 1.5", p.Limit())
+	}
+	for range 5000 {
+		p.Served(true)
+	}
+	if p.Limit() != 72 {
+		t.Fatalf("limit %d after many answers, want all slots", p.Limit())
+	}
+}
