--- a/entry/lease.go
+++ b/entry/lease.go
@@ -12,7 +12,8 @@
 // attempt found the answer whole, and closes it otherwise.
 type connLease struct {
 	pool  *connPool
-	reuse bool // may use and leave behind a pooled connection
+	reuse bool         // may use and leave behind a pooled connection
+	gate  func() error // asked right before the first byte leaves; nil for none
 
 	mu       sync.Mutex
 	conn     *pooledConn // nil until connected
@@ -119,6 +120,11 @@
 	if l.ended || l.dropped {
 		return net.ErrClosed
 	}
+	if write && !l.sent && l.gate != nil {
+		if err := l.gate(); err != nil {
+			return err
+		}
+	}
 	l.busy++
 	l.sent = l.sent || write
 	return nil
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -37,6 +37,8 @@
 	ReasonMethod       Reason = "method"
 	ReasonKey          Reason = "key"
 	ReasonRate         Reason = "rate"
+	ReasonRateUnknown  Reason = "rate-unknown"
+	ReasonBusy         Reason = "busy"
 	ReasonDuplicate    Reason = "duplicate"
 	ReasonKeyAge       Reason = "key-age"
 	ReasonClaim        Reason = "claim-unavailable"
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -50,14 +50,18 @@
 	return &wire.KeptAnswer{Status: last.answer.StatusCode, Header: header, Body: last.body}
 }
 
-// settle records an end and returns when that is done or has taken settleWait.
+// settle records an end; it returns when that is done or has taken settleWait.
 func (s *forwardStage) settle(request wire.SettleRequest) (done <-chan struct{}) {
+	return settle(s.claimer, request)
+}
+
+func settle(claimer Claimer, request wire.SettleRequest) (done <-chan struct{}) {
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		_ = s.claimer.Settle(ctx, request) // without a record, duplicates are told that the end is unknown
+		_ = claimer.Settle(ctx, request) // without a record, duplicates are told that the end is unknown
 	}()
 	timer := time.NewTimer(settleWait)
 	defer timer.Stop()
--- a/wire/client.go
+++ b/wire/client.go
@@ -22,14 +22,14 @@
 	address string
 	clock   *timeline.Clock
 	mu      sync.Mutex
-	conn    *clientConn // nil until connected
+	link    *link // for new calls; nil until the first one
 }
 
-// clientConn is a connection and the calls that wait on it.
-type clientConn struct {
-	*jsonrpc2.Conn
-	calls   int  // under Client.mu
-	retired bool // takes no new calls; closed after its last one
+// link is a connection with the number of calls that wait for an answer on it.
+type link struct {
+	conn    *jsonrpc2.Conn
+	calls   int
+	retired bool // no new calls; closed after the last one
 }
 
 // NewClient returns a client of the process at address; it connects on first use.
@@ -39,22 +39,23 @@
 
 // Call sends question and decodes the answer into answer. It fails with kind
 // Unavailable if no byte was sent, Ambiguous if the answer was lost, or the
-// kind that the other process gave.
+// kind that the other process gave. It ends at most writeTimeout after ctx.
 func (c *Client) Call(ctx context.Context, method string, question, answer any) error {
 	body, err := json.Marshal(question)
 	if err != nil {
 		return errs.Wrap(err, errs.Invalid, "cannot encode "+method, "report this as a defect")
 	}
-	conn, err := c.connect(ctx)
+	used, err := c.acquire(ctx)
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "cannot connect to "+c.address, "check that the process runs and is reachable")
 	}
-	defer c.release(conn)
+	defer c.release(used)
 	var received envelope
-	err = conn.Call(ctx, method, envelope{Stamp: c.clock.Now(), Body: body}, &received)
+	err = used.conn.Call(ctx, method, envelope{Stamp: c.clock.Now(), Body: body}, &received)
 	if err != nil {
-		return c.failed(conn, method, err)
+		return c.failed(used, method, err)
 	}
+	sentMethods.of(method).count(body, received.Body)
 	c.clock.Observe(received.Stamp)
 	if answer == nil {
 		return nil
@@ -66,32 +67,29 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
+	if c.link != nil {
+		_ = c.link.conn.Close()
+		c.link = nil
 	}
 }
 
-// connect returns a connection that counts one more call.
-func (c *Client) connect(ctx context.Context) (*clientConn, error) {
+// acquire returns the link for a new call, connecting if there is none.
+func (c *Client) acquire(ctx context.Context) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil && !closed(c.conn) {
-		c.conn.calls++
-		return c.conn, nil
+	if c.link == nil || closed(c.link.conn) {
+		socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			return nil, err
+		}
+		c.link = &link{conn: newConn(context.Background(), socket, ignoreCalls)}
 	}
-	socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, err
-	}
-	ignore := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
-	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(socket), ignore)
-	c.conn = &clientConn{Conn: conn, calls: 1}
-	return c.conn, nil
+	c.link.calls++
+	return c.link, nil
 }
 
 // closed reports whether the other process has closed the connection.
-func closed(conn *clientConn) bool {
+func closed(conn *jsonrpc2.Conn) bool {
 	select {
 	case <-conn.DisconnectNotify():
 		return true
@@ -100,35 +98,39 @@
 	}
 }
 
-// failed retires the connection unless the other process answered with an
-// error or the caller itself gave up.
-func (c *Client) failed(conn *clientConn, method string, err error) error {
+// ignoreCalls answers nothing: calls only go from clients to servers.
+var ignoreCalls = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, nil
+})
+
+func (c *Client) release(used *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used.calls--
+	if used.retired && used.calls == 0 {
+		_ = used.conn.Close()
+	}
+}
+
+// failed retires the connection unless the other process answered with an error
+// or the call was given up before its deadline.
+func (c *Client) failed(used *link, method string, err error) error {
 	var remote *jsonrpc2.Error
 	if errors.As(err, &remote) {
 		return decodeError(remote)
 	}
 	if !errors.Is(err, context.Canceled) {
-		c.retire(conn)
+		c.retire(used)
 	}
 	return errs.Wrap(err, errs.Ambiguous, "no answer from "+c.address+" to "+method, "check the network between the VMs")
 }
 
-// retire makes new calls use a fresh connection. Calls that wait on this one,
-// such as a long poll beside a slow call, may still be answered.
-func (c *Client) retire(conn *clientConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn.retired = true
-	if c.conn == conn {
-		c.conn = nil
-	}
-}
-
-func (c *Client) release(conn *clientConn) {
+// retire keeps new calls off the link. Other calls on it may still get their answer.
+func (c *Client) retire(used *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conn.calls--
-	if conn.retired && conn.calls == 0 {
-		_ = conn.Close()
+	used.retired = true
+	if c.link == used {
+		c.link = nil
 	}
 }
