--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -19,6 +19,8 @@
 	store  *simStore
 	agents []*simAgent
 	calls  map[uint64]*simAttempt // by ticket
+
+	lastArrival time.Duration
 }
 
 type event struct {
@@ -202,7 +204,9 @@
 	granted bool
 	tries   int
 	probe   bool // only asks
-	verdict Verdict
+
+	onVerdict func(Verdict) // if not nil
+	verdict   Verdict
 }
 
 // simKey is one protected request and what happened to it.
@@ -263,6 +267,9 @@
 		return
 	}
 	attempt.verdict = verdict
+	if attempt.onVerdict != nil {
+		attempt.onVerdict(verdict)
+	}
 	if attempt.probe {
 		return
 	}
