Agents' claims under cuts of the store, silent and slow stores

Cause: a test with three agents, one of them without the store, took 22 s: an owner that refused was trusted again at once and asked first. A call of the store over a silent connection held a claim for 1.5 s of the 2 s that it has.

Change: an owner that refuses stays suspected for 3 s; the limit of a store call follows the time of the one before, between 0.6 s and 3 s.

--- a/agent/bucket.go
+++ b/agent/bucket.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	claimStoreTimeout = 1500 * time.Millisecond // for one call of the store
-	ownerTenure       = 3 * time.Second         // in which a bucket is not taken back from the agent that took it
+	leastStoreTimeout = 600 * time.Millisecond // for one call of the store, when it is quick
+	mostStoreTimeout  = 3 * time.Second        // and when it is slow
+	storeTimeoutRatio = 4                      // of the limit to the time of the call before
+	ownerTenure       = 3 * time.Second        // in which a bucket is not taken back from the agent that took it
 )
 
 // claimBucket runs one bucket of claims against the store.
@@ -26,6 +28,7 @@
 	role     once.Role
 	waiting  map[uint64]chan once.Reply // by ticket
 	tickets  uint64
+	limit    time.Duration // for the next call of the store
 	timer    *time.Timer
 	lostTo   string // VM that took the bucket over
 	lostTime time.Time
@@ -33,7 +36,7 @@
 
 func newClaimBucket(name, self string, store platform.Store, changed func(once.Role, string)) *claimBucket {
 	b := &claimBucket{
-		store: store, changed: changed, role: once.Idle,
+		store: store, changed: changed, role: once.Idle, limit: leastStoreTimeout,
 		core: once.NewBucket(name, self, once.DefaultSettings), waiting: map[uint64]chan once.Reply{},
 	}
 	b.timer = time.AfterFunc(time.Hour, b.wake)
@@ -127,7 +130,7 @@
 		}
 	}
 	if op != nil {
-		go b.perform(op)
+		go b.perform(op, b.limit)
 	}
 	if !at.IsZero() {
 		b.timer.Reset(time.Until(at))
@@ -149,16 +152,28 @@
 }
 
 // perform calls the store and takes in the answer.
-func (b *claimBucket) perform(op *once.Op) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimStoreTimeout)
+func (b *claimBucket) perform(op *once.Op, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	started := time.Now()
 	result := callStore(ctx, b.store, op)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.limit = nextLimit(limit, time.Since(started), result.Failed)
 	b.core.Done(time.Now(), result)
 	b.turn()
 }
 
+// nextLimit follows the store: a silent connection is given up soon, a slow
+// store is waited for.
+func nextLimit(limit, took time.Duration, failed bool) time.Duration {
+	next := storeTimeoutRatio * took
+	if failed {
+		next = 2 * limit
+	}
+	return min(max(next, leastStoreTimeout), mostStoreTimeout)
+}
+
 func callStore(ctx context.Context, store platform.Store, op *once.Op) once.Result {
 	switch op.Kind {
 	case once.OpList:
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -128,12 +128,12 @@
 		switch {
 		case err != nil:
 			last.State = wire.ClaimInDoubt
-		case answer.State == wire.ClaimRefused && c.mayProbe(bucket):
+		case answer.State == wire.ClaimRefused:
+			if !c.mayProbe(bucket) {
+				return last
+			}
 			c.suspect(member) // it may be cut off from the store
-		case answer.State == wire.ClaimNotOwner:
-		case answer.State == wire.ClaimRefused && last.State == wire.ClaimInDoubt:
-			return last
-		default:
+		case answer.State != wire.ClaimNotOwner:
 			c.trust(member)
 			return answer
 		}
