A server that sends unrequested bytes gets no reused connections for 10 minutes

Cause: in a loaded run the test 'late second answer' gave a caller the second answer to an earlier request, because it arrived after the next request had been written on the same connection. With connections that are used again, nothing tells such bytes from an answer.

Change: unrequested bytes found when a connection is put back or taken out end the reuse of that server's connections for 10 minutes.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"lacewingmount.dev/sockets"
 )
 
@@ -15,6 +17,7 @@
 	maxIdleAge    = 20 * time.Second // an older idle connection is closed, not used
 	maxIdleConns  = 8                // to each backend server
 	maxIdleUnused = -1               // of net/http's own pool
+	distrustTime  = 10 * time.Minute // without reuse after unrequested bytes
 )
 
 // newTransport returns a transport to backend servers. net/http serves a single
@@ -45,6 +48,8 @@
 	idle  []*pooledConn // longest idle first
 	era   uint64        // connections of earlier eras are not used again
 	sweep *time.Timer   // closes connections that stay idle; nil when none is
+
+	distrusted time.Time // until then no connection is used again
 }
 
 // take returns the connection that was used last, or nil if a new one is needed.
@@ -55,7 +60,7 @@
 		last := len(p.idle) - 1
 		conn := p.idle[last]
 		p.idle = p.idle[:last]
-		if time.Since(conn.idleSince) < maxIdleAge && sockets.Quiet(conn.Conn) {
+		if time.Since(conn.idleSince) < maxIdleAge && p.quiet(conn) {
 			return conn
 		}
 		_ = conn.Close()
@@ -67,7 +72,7 @@
 func (p *connPool) put(conn *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn.era != p.era || len(p.idle) >= maxIdleConns {
+	if !p.quiet(conn) || conn.era != p.era || len(p.idle) >= maxIdleConns {
 		_ = conn.Close()
 		return
 	}
@@ -78,6 +83,21 @@
 	}
 }
 
+// quiet reports whether an idle connection may be used. A server that sends
+// bytes that nobody asked for could send them as the answer to the next request,
+// so none of its connections is used again for a time.
+func (p *connPool) quiet(conn *pooledConn) bool {
+	state := sockets.Peek(conn.Conn)
+	if state == sockets.Noisy {
+		unrequestedBytes.Inc()
+		p.distrusted = time.Now().Add(distrustTime)
+		p.closeIdle()
+	}
+	return state == sockets.Quiet && time.Now().After(p.distrusted)
+}
+
+var unrequestedBytes = metrics.GetOrCreateCounter("lacewing_backend_unrequested_bytes_total")
+
 // retire closes all connections up to the given era, now if they are idle and
 // otherwise after their request. Connections opened later are not affected.
 func (p *connPool) retire(era uint64) {
@@ -87,6 +107,10 @@
 		return // retired before
 	}
 	p.era++
+	p.closeIdle()
+}
+
+func (p *connPool) closeIdle() {
 	for _, conn := range p.idle {
 		_ = conn.Close()
 	}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -47,21 +47,36 @@
 	return result
 }
 
-// Quiet reports whether an idle connection is open and has nothing to read. A
-// peer that closed it or sent bytes without a request makes it unfit for use.
-func Quiet(conn net.Conn) bool {
+// Idleness is the state of a connection on which nothing is expected.
+type Idleness int
+
+// States of an idle connection.
+const (
+	Closed Idleness = iota // by the peer, or not a socket
+	Quiet                  // open, nothing to read
+	Noisy                  // the peer sent bytes that nobody asked for
+)
+
+// Peek returns the state of an idle connection without reading from it.
+func Peek(conn net.Conn) Idleness {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return Closed
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return Closed
 	}
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
+	state := Closed
+	_ = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN:
+			state = Quiet
+		case err == nil && n > 0:
+			state = Noisy
+		}
 	})
-	return err == nil && peekErr == unix.EAGAIN
+	return state
 }
