Signed sections in chunks, configuration by exchange, keys that fail closed

Cause: the document was one value that anyone with access to the store could change; a VM cut off from the store kept an old one, a withdrawn key worked there for ever, a restarted agent had nothing, and a document of the size expected in two years did not fit a value of 1 MiB.

Change: - A section is signed by its operators (Ed25519, derived from the credential) and verified by each agent against the key that it saw first; credentials rotate by a chain of signatures.

Ruled out: a credential hash compared by lacewingctl alone (a writer that skips the check is not stopped); signing the decoded section (a field that an older version does not know breaks the signature, so the bytes are signed and passed on as they came).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +27,13 @@
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
 	PeerAddresses map[string]string `yaml:"peer_addresses" validate:"dive,hostname_port"`
+
+	// Seeds are agents to ask when the platform's list cannot be had at the start.
+	Seeds []string `yaml:"seeds" validate:"dive,hostname_port"`
+
+	// Operators fixes the public key of a partner's operators, by partner. Without
+	// it the key in the first document that the VM sees is trusted.
+	Operators map[string]string `yaml:"operators" validate:"dive,hexadecimal,len=64"`
 }
 
 // member returns this VM as its peers are told of it.
@@ -33,53 +43,77 @@
 
 // Agent is the control plane of one VM.
 type Agent struct {
-	settings Settings
-	log      *zap.Logger
-	events   *timeline.Ring
-	store    platform.Store
-	vms      platform.VMList
-	state    *state
-	peers    *peers
-	claims   *claims
+	settings   Settings
+	log        *zap.Logger
+	events     *timeline.Ring
+	admin      *daemon.Admin
+	now        func() time.Time
+	started    time.Time
+	background context.Context // ends when the agent has stopped
+	end        context.CancelFunc
+	stopping   atomic.Bool
+	store      platform.Store
+	vms        platform.VMList
+	state      *state
+	adopter    adopter
+	pulling    sync.Mutex // held while a document is fetched from a peer
+	authority  *authority
+	entry      entryReports
+	peers      *peers
+	claims     *claims
 }
 
 // New returns an agent that uses the given store and list of VMs.
 func New(settings Settings, log *zap.Logger, store platform.Store, vms platform.VMList) *Agent {
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-agent")
+	peers := newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now)
+	peers.addSeeds(settings.Seeds)
+	background, end := context.WithCancel(context.Background())
 	return &Agent{
-		settings: settings, log: log, events: events, store: store, vms: vms,
-		state: newState(), claims: newClaims(store),
-		peers: newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now),
+		settings: settings, log: log, events: events, admin: daemon.NewAdmin(events), now: time.Now, started: time.Now(),
+		background: background, end: end, store: store, vms: vms,
+		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers, claims: newClaims(store),
 	}
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, then stops in order.
 func (a *Agent) Run(ctx context.Context) error {
-	admin := daemon.NewAdmin(a.events)
-	if err := admin.Start(ctx, a.settings.Admin); err != nil {
+	defer a.end()
+	if err := a.admin.Start(a.background, a.settings.Admin); err != nil {
 		return err
 	}
-	listener, err := daemon.Listen(ctx, a.settings.Listen)
+	listener, err := daemon.Listen(a.background, a.settings.Listen)
 	if err != nil {
 		return err
 	}
-	go a.handlers().Serve(ctx, listener)
-	go a.followDocument(ctx)
-	go a.followMembers(ctx)
-	go a.exchangeWithPeers(ctx)
+	a.start(listener)
 	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	a.log.Info("started", zap.String("listen", a.settings.Listen))
-	admin.SetReady(true)
 	<-ctx.Done()
-	a.events.Add(timeline.Event{Kind: timeline.KindStopping})
-	a.log.Info("stopped")
+	a.stop()
 	return nil
 }
 
+// start serves calls and begins the agent's own activities.
+func (a *Agent) start(listener net.Listener) {
+	go a.handlers().Serve(a.background, listener)
+	go a.followStore(a.background)
+	go a.followMembers(a.background)
+	go a.exchangeWithPeers(a.background)
+	go a.recordWithdrawals(a.background)
+	go a.checkAuthority(a.background)
+}
+
 func (a *Agent) handlers() *wire.Handlers {
 	handlers := wire.NewHandlers(a.events.Clock())
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
+	wire.Handle(handlers, wire.MethodReport, a.report)
+	wire.Handle(handlers, wire.MethodHandBack, a.handBack)
+	wire.Handle(handlers, wire.MethodStatus, a.status)
 	wire.Handle(handlers, wire.MethodExchange, a.exchange)
+	wire.Handle(handlers, wire.MethodDocument, a.document)
+	wire.Handle(handlers, wire.MethodChunks, a.chunks)
+	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
 	return handlers
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -169,3 +169,30 @@
 	defer p.mu.Unlock()
 	p.view.Missed(p.now(), probe)
 }
+
+// among reports whether this VM is one of the n in service that weigh most for key.
+func (p *peers) among(n int, key string) bool {
+	return membership.Among(p.inService(), key, p.self, n)
+}
+
+// contact returns the latest instant at which most peers were known to answer.
+func (p *peers) contact() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Contact()
+}
+
+// leave tells this VM's view, and through it the peers, that the VM leaves; with
+// stopped, that its agent ends.
+func (p *peers) leave(stopped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.Leave(stopped)
+}
+
+// addSeeds makes the agents at the addresses known for a start without the platform's list.
+func (p *peers) addSeeds(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.AddSeeds(addresses)
+}
--- a/config/document.go
+++ b/config/document.go
@@ -1,25 +1,42 @@
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// RootKey is the store key of the document.
-const RootKey = "config/root"
+// MaxChanges is the number of changes that a document remembers.
+const MaxChanges = 32
 
 // Document is the configuration in force on every VM.
 type Document struct {
-	Revision uint64    `json:"revision" yaml:"revision"`
-	ChangeID string    `json:"change_id" yaml:"change_id"` // identifies the write that made this revision
-	Sections []Section `json:"sections" yaml:"sections"`
+	Revision    uint64       `json:"revision"`
+	Changes     []Change     `json:"changes,omitempty"`     // the newest MaxChanges, oldest first
+	Withdrawals []Withdrawal `json:"withdrawals,omitempty"` // not yet part of a section
+	Sections    []Section    `json:"sections"`
+}
+
+// Change identifies the write that made a revision.
+type Change struct {
+	Revision uint64 `json:"revision"`
+	ID       string `json:"id"`
+	Partner  string `json:"partner"`
 }
 
-// Section is the configuration of one partner. Only its operators change it.
+// Section is the configuration of one partner. Only its operators change it:
+// their signature is verified by every agent.
 type Section struct {
-	Partner  string          `json:"partner" yaml:"partner" validate:"required"`
-	Operator string          `json:"operator" yaml:"operator"` // hash of the operators' credential
-	Services []Service       `json:"services" yaml:"services" validate:"required,dive"`
-	Routes   []Route         `json:"routes" yaml:"routes" validate:"required,dive"`
-	Accounts []ClientAccount `json:"accounts" yaml:"accounts" validate:"required,dive"`
-	Keys     []Key           `json:"keys,omitempty" yaml:"keys,omitempty" validate:"dive"`
+	Partner   string          `json:"partner" yaml:"partner" validate:"required"`
+	Operator  string          `json:"operator" yaml:"operator,omitempty"` // public key of the operators' credential
+	Rotations []Rotation      `json:"rotations,omitempty" yaml:"-"`       // from earlier credentials to Operator
+	Revision  uint64          `json:"revision" yaml:"-"`                  // of the document that changed this section last
+	Applied   Change          `json:"applied" yaml:"-"`                   // the last change of services, routes or accounts
+	Services  []Service       `json:"services" yaml:"services" validate:"required,dive"`
+	Routes    []Route         `json:"routes" yaml:"routes" validate:"required,dive"`
+	Accounts  []ClientAccount `json:"accounts" yaml:"accounts" validate:"required,dive"`
+	Keys      []Key           `json:"keys,omitempty" yaml:"keys,omitempty" validate:"dive"`
+
+	sealed *sealed // the signed form, if the section has not changed since
 }
 
 // Concern says which error of ejection weighs more for a partner.
@@ -83,19 +100,52 @@
 	return nil
 }
 
+// Change returns the remembered change with the id.
+func (d *Document) Change(id string) (change Change, ok bool) {
+	for _, change := range d.Changes {
+		if change.ID == id {
+			return change, true
+		}
+	}
+	return Change{}, false
+}
+
+// ChangeID returns the id of the change that made this revision.
+func (d *Document) ChangeID() string {
+	if len(d.Changes) == 0 {
+		return ""
+	}
+	return d.Changes[len(d.Changes)-1].ID
+}
+
 // WithSection returns a copy of the document in which section replaces the
-// partner's previous one. Revision and change id are left to the caller.
+// partner's previous one.
 func (d *Document) WithSection(section Section) *Document {
-	next := &Document{Revision: d.Revision, ChangeID: d.ChangeID}
-	replaced := false
-	for _, existing := range d.Sections {
-		if existing.Partner == section.Partner {
-			existing, replaced = section, true
+	next := d.clone()
+	for i := range next.Sections {
+		if next.Sections[i].Partner == section.Partner {
+			next.Sections[i] = section
+			return next
 		}
-		next.Sections = append(next.Sections, existing)
 	}
-	if !replaced {
-		next.Sections = append(next.Sections, section)
+	next.Sections = append(next.Sections, section)
+	return next
+}
+
+// WithChange returns a copy of the document whose next revision is made by the change.
+func (d *Document) WithChange(id, partner string) *Document {
+	next := d.clone()
+	next.Revision++
+	next.Changes = append(next.Changes, Change{Revision: next.Revision, ID: id, Partner: partner})
+	if excess := len(next.Changes) - MaxChanges; excess > 0 {
+		next.Changes = next.Changes[excess:]
 	}
 	return next
 }
+
+func (d *Document) clone() *Document {
+	return &Document{
+		Revision: d.Revision, Changes: slices.Clone(d.Changes),
+		Withdrawals: slices.Clone(d.Withdrawals), Sections: slices.Clone(d.Sections),
+	}
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -9,7 +9,7 @@
 // Validate checks what no single field can show: references, floors and claims
 // on the same name by several partners.
 func (d *Document) Validate() error {
-	check := validation{services: map[string]string{}, accounts: map[string]string{}, paths: map[string]string{}, addresses: map[string]string{}}
+	check := validation{services: map[string]string{}, accounts: map[string]string{}, paths: map[string]string{}, addresses: map[string]string{}, keyHashes: map[string]string{}}
 	for i := range d.Sections {
 		if err := check.section(&d.Sections[i]); err != nil {
 			return err
@@ -20,7 +20,7 @@
 
 // validation remembers which partner defined a name first.
 type validation struct {
-	services, accounts, paths, addresses map[string]string
+	services, accounts, paths, addresses, keyHashes map[string]string
 }
 
 func (v *validation) section(section *Section) error {
@@ -91,9 +91,12 @@
 
 func (v *validation) keys(section *Section) error {
 	for _, key := range section.Keys {
-		if v.accounts[key.Account] != section.Partner {
+		if !key.Withdrawn && v.accounts[key.Account] != section.Partner {
 			return invalid("key of unknown client account "+key.Account, "withdraw the key or restore the account")
 		}
+		if err := claim(v.keyHashes, "key", key.Hash, section.Partner); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -1,116 +1,102 @@
 package ctl
 
 import (
-	"context"
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"lacewingmount.dev/config"
 	"lacewingmount.dev/errs"
-	"lacewingmount.dev/platform"
-	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
-const pollPeriod = 100 * time.Millisecond
+// latest as a base overwrites whatever is in force.
+const latest = "latest"
 
 // ApplyCommand puts a section in force.
 type ApplyCommand struct {
 	StoreFlags
 	Section string        `arg:"" type:"existingfile" help:"Section in YAML."`
+	Base    string        `help:"Revision that the section was compared with, as diff prints it, or latest to overwrite whatever is in force. Needed once the partner has a section." placeholder:"REVISION"`
 	Wait    time.Duration `default:"5s" help:"How long to wait until every VM has it in force."`
 }
 
 // Run implements the command.
 func (c *ApplyCommand) Run(env *Env) error {
-	section, err := loadSection(c.Section)
+	wanted, err := loadSection(c.Section)
 	if err != nil {
 		return err
 	}
-	store := c.open()
-	revision, err := changeSection(env.Context, store, section.Partner, c.Credential, func(current *config.Section) error {
-		keepStanding(&section, current)
-		*current = section
-		return nil
-	})
+	edit := (&application{wanted: wanted, base: c.Base}).edit
+	change, err := newChange(wanted.Partner, c.Credential, edit)
+	if err != nil {
+		return err
+	}
+	revision, err := change.commit(env.Context, c.open())
 	if err != nil {
 		return err
 	}
-	env.printf("accepted as revision %d\n", revision)
-	return awaitRevision(env, store, revision, c.Wait)
+	env.printf("accepted as revision %d, change %s\n", revision, change.id)
+	return awaitRevision(env, c.StoreFlags, revision, c.Wait)
 }
 
-// awaitRevision reports VM by VM until each has the revision in force, and
-// fails naming those that do not within wait.
-func awaitRevision(env *Env, vms platform.VMList, revision uint64, wait time.Duration) error {
-	list, err := vms.VMs(env.Context)
+// awaitRevision reports VM by VM when it has the revision in force.
+func awaitRevision(env *Env, flags StoreFlags, revision uint64, wait time.Duration) error {
+	vms, err := dialVMs(env.Context, flags.open(), flags.Agent)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(env.Context, wait)
-	defer cancel()
-	pending := list
-	for len(pending) > 0 && ctx.Err() == nil {
-		pending = stillPending(ctx, env, pending, revision)
-		if len(pending) > 0 {
-			time.Sleep(pollPeriod)
-		}
-	}
-	if len(pending) == 0 {
-		return nil
-	}
-	missing := ""
-	for _, vm := range pending {
-		missing += " " + vm.Name
-	}
-	return errs.New(errs.Unavailable, "accepted, but not confirmed by:"+missing, "run status; the VMs take it when they are reachable")
+	defer closeVMs(vms)
+	return awaitAll(env, vms, wait, wire.StatusRequest{}, "in force", inForce(revision))
 }
 
-func stillPending(ctx context.Context, env *Env, vms []platform.VM, revision uint64) []platform.VM {
-	var pending []platform.VM
-	for _, vm := range vms {
-		if current, err := vmRevision(ctx, vm); err != nil || current < revision {
-			pending = append(pending, vm)
-			continue
-		}
-		env.printf("in force on %s\n", vm.Name)
-	}
-	return pending
+// application makes a section the partner's, on the state that the operator saw.
+type application struct {
+	wanted config.Section
+	base   string
+	seen   *config.Section // as the first attempt found it
+	began  bool
 }
 
-// vmRevision asks a VM's agent for the revision that it has in force.
-func vmRevision(ctx context.Context, vm platform.VM) (uint64, error) {
-	client := wire.NewClient(vm.Address, timeline.NewClock(time.Now))
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	var snapshot wire.Snapshot
-	if err := client.Call(ctx, wire.MethodSnapshot, wire.SnapshotRequest{}, &snapshot); err != nil {
-		return 0, err
+// edit applies the section. A later attempt meets changes that others made in
+// between: those of other items are kept, one of the same item is a conflict.
+func (a *application) edit(section *config.Section, id string, next uint64) error {
+	present := *section
+	if present.Revision == 0 {
+		present = config.Section{}
 	}
-	if snapshot.Document == nil {
-		return 0, nil
+	if !a.began {
+		if err := a.checkBase(present); err != nil {
+			return err
+		}
+		a.began, a.seen = true, &present
 	}
-	return snapshot.Document.Revision, nil
-}
-
-// StatusCommand shows the state of each VM.
-type StatusCommand struct {
-	StoreFlags
+	merged, overlapping := config.Merge(a.seen, &a.wanted, section)
+	if len(overlapping) > 0 {
+		return errs.New(errs.Conflict, fmt.Sprintf("change %s in revision %d also changed %s",
+			section.Applied.ID, section.Applied.Revision, strings.Join(overlapping, ", ")), "run diff and apply again on the new revision")
+	}
+	*section = merged
+	section.Applied = config.Change{Revision: next, ID: id, Partner: section.Partner}
+	return nil
 }
 
-// Run implements the command.
-func (c *StatusCommand) Run(env *Env) error {
-	list, err := c.open().VMs(env.Context)
+// checkBase refuses to overwrite what the operator has not seen.
+func (a *application) checkBase(present config.Section) error {
+	if a.base == latest || present.Revision == 0 {
+		return nil
+	}
+	standing := fmt.Sprintf("the section of %s was applied in revision %d by change %s", present.Partner, present.Applied.Revision, present.Applied.ID)
+	if a.base == "" {
+		return errs.New(errs.Conflict, standing, "run diff, then apply with --base and the revision that diff printed")
+	}
+	base, err := strconv.ParseUint(a.base, 10, 64)
 	if err != nil {
-		return err
+		return errs.Wrap(err, errs.Invalid, "--base "+a.base, "pass the revision that diff printed, or latest")
 	}
-	for _, vm := range list {
-		revision, err := vmRevision(env.Context, vm)
-		if err != nil {
-			env.printf("%s zone=%s unreachable: %v\n", vm.Name, vm.Zone, err)
-			continue
-		}
-		env.printf("%s zone=%s revision=%d leaving=%t\n", vm.Name, vm.Zone, revision, vm.Leaving)
+	if base < present.Applied.Revision {
+		return errs.New(errs.Conflict, standing+", after the base "+a.base, "run diff to see that change, then apply with the revision that diff printed")
 	}
 	return nil
 }
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -12,8 +13,13 @@
 	"lacewingmount.dev/platform"
 )
 
-// maxChangeAttempts bounds how often a change is reapplied after a conflict.
-const maxChangeAttempts = 8
+const (
+	// maxChangeAttempts bounds how often a change is reapplied after a conflict.
+	maxChangeAttempts = 8
+	// resolveTimeout bounds how long a lost answer is asked after.
+	resolveTimeout = 5 * time.Second
+	resolvePeriod  = 100 * time.Millisecond
+)
 
 // versioned is the document with the store's version of it.
 type versioned struct {
@@ -29,65 +35,165 @@
 	if err != nil {
 		return versioned{}, err
 	}
-	var document config.Document
-	if err := json.Unmarshal(entry.Value, &document); err != nil {
-		return versioned{}, errs.Wrap(err, errs.Invalid, "the stored configuration cannot be read", "use a newer lacewingctl")
+	document, err := config.Decode(entry.Value, nil, func(hash string) ([]byte, error) {
+		chunk, err := store.Get(ctx, config.ChunkPrefix+hash)
+		return chunk.Value, err
+	})
+	if err != nil {
+		return versioned{}, err
 	}
-	return versioned{document: &document, version: entry.Version}, nil
+	return versioned{document: document, version: entry.Version}, nil
+}
+
+// change is one change of a partner's section by its operators.
+type change struct {
+	id       string
+	partner  string
+	operator keys.Operator
+	signer   keys.Operator // of the changed section; another one when the credential is rotated
+	// edit changes the section; on the first attempt and again after a conflict.
+	edit func(section *config.Section, id string, next uint64) error
 }
 
-// changeSection changes the partner's section by compare-and-swap and returns
-// the revision that holds the change. On a conflict it reads the document again
-// and reapplies edit.
-func changeSection(ctx context.Context, store platform.Store, partner, credential string, edit func(*config.Section) error) (uint64, error) {
-	changeID := uuid.NewString()
+func newChange(partner, credential string, edit func(section *config.Section, id string, next uint64) error) (*change, error) {
+	if credential == "" {
+		return nil, errs.New(errs.Denied, "no operator credential", "set LACEWING_CREDENTIAL to that of "+partner)
+	}
+	operator, err := keys.NewOperator(credential)
+	if err != nil {
+		return nil, err
+	}
+	return &change{id: uuid.NewString(), partner: partner, operator: operator, signer: operator, edit: edit}, nil
+}
+
+// commit makes the change by compare-and-swap and returns the revision that holds
+// it. After a conflict it reads the document again; if the change is there already,
+// by an earlier write whose answer was lost, it is not made twice.
+func (c *change) commit(ctx context.Context, store platform.Store) (uint64, error) {
 	for range maxChangeAttempts {
 		current, err := readDocument(ctx, store)
 		if err != nil {
 			return 0, err
 		}
-		next, err := edited(current.document, partner, credential, edit)
+		if made, ok := current.document.Change(c.id); ok {
+			return made.Revision, nil
+		}
+		next, err := c.next(current.document)
 		if err != nil {
 			return 0, err
 		}
-		next.Revision, next.ChangeID = current.document.Revision+1, changeID
-		err = writeDocument(ctx, store, next, current.version)
+		err = c.write(ctx, store, current, next)
+		if err == nil {
+			return next.Revision, nil
+		}
 		if errs.KindOf(err) != errs.Conflict {
-			return next.Revision, err
+			return 0, err
 		}
 	}
 	return 0, errs.New(errs.Conflict, "other operators kept changing the configuration", "run the command again")
 }
 
-// edited returns a validated copy of the document with the partner's section changed.
-func edited(document *config.Document, partner, credential string, edit func(*config.Section) error) (*config.Document, error) {
-	section := config.Section{Partner: partner, Operator: keys.Hash(credential)}
-	if existing := document.Section(partner); existing != nil {
+// next returns the document with the change made and the section signed.
+func (c *change) next(document *config.Document) (*config.Document, error) {
+	next := document.WithChange(c.id, c.partner)
+	section := config.Section{Partner: c.partner, Operator: c.operator.Public()}
+	if existing := document.Section(c.partner); existing != nil {
 		section = *existing
 	}
-	if credential == "" || section.Operator != keys.Hash(credential) {
-		return nil, errs.New(errs.Denied, "the credential does not belong to "+partner, "pass that partner's operator credential")
+	if section.Operator != c.operator.Public() {
+		return nil, errs.New(errs.Denied, "the credential does not belong to "+c.partner, "pass that partner's operator credential")
 	}
-	if err := edit(&section); err != nil {
+	next.FoldWithdrawals(&section)
+	if err := c.edit(&section, c.id, next.Revision); err != nil {
 		return nil, err
 	}
-	next := document.WithSection(section)
-	return next, next.Validate()
+	section.Revision = next.Revision
+	if err := section.Seal(c.signer); err != nil {
+		return nil, err
+	}
+	next = next.WithSection(section)
+	return next, config.Verify(document, next)
 }
 
-// writeDocument writes the document and resolves a lost answer by reading back its change id.
-func writeDocument(ctx context.Context, store platform.Store, document *config.Document, expect platform.Version) error {
-	value, err := json.Marshal(document)
+// write puts the document into the store: first the chunks that are not there,
+// then the root. It fails with kind Conflict if another writer was faster.
+func (c *change) write(ctx context.Context, store platform.Store, current versioned, next *config.Document) error {
+	stored, err := next.Encode()
 	if err != nil {
-		return errs.Wrap(err, errs.Invalid, "cannot encode the configuration", "report this as a defect")
+		return err
 	}
-	write := func() error {
-		_, err := store.CompareAndSwap(ctx, config.RootKey, value, expect, 0)
+	present, err := presentChunks(current.document)
+	if err != nil {
 		return err
 	}
-	applied := func(ctx context.Context) (bool, error) {
+	for hash, chunk := range stored.Chunks {
+		if _, ok := present[hash]; ok {
+			continue
+		}
+		if err := putChunk(ctx, store, hash, chunk); err != nil {
+			return err
+		}
+	}
+	_, err = store.CompareAndSwap(ctx, config.RootKey, stored.Root, current.version, 0)
+	if errs.KindOf(err) != errs.Ambiguous {
+		return err
+	}
+	return c.resolve(ctx, store, err)
+}
+
+// resolve finds out whether a write whose answer was lost took effect. As long as
+// the document is the old one, the write may still arrive.
+func (c *change) resolve(ctx context.Context, store platform.Store, cause error) error {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	for {
 		current, err := readDocument(ctx, store)
-		return current.document != nil && current.document.ChangeID == document.ChangeID, err
+		if err == nil {
+			if _, made := current.document.Change(c.id); made {
+				return nil
+			}
+			return errs.Wrap(cause, errs.Conflict, "the write did not take effect", "it is made again")
+		}
+		select {
+		case <-ctx.Done():
+			return errs.Wrap(cause, errs.Ambiguous,
+				fmt.Sprintf("change %s may have been accepted or not: its answer was lost and the store does not answer", c.id),
+				"run status when the store is back")
+		case <-time.After(resolvePeriod):
+		}
+	}
+}
+
+// presentChunks returns the chunks that the document keeps in the store.
+func presentChunks(document *config.Document) (map[string][]byte, error) {
+	if document.Revision == 0 {
+		return nil, nil
+	}
+	stored, err := document.Encode()
+	return stored.Chunks, err
+}
+
+// putChunk makes sure that the store has the chunk, and raises its version, so
+// that an operator who is removing it as unused notices.
+func putChunk(ctx context.Context, store platform.Store, hash string, chunk []byte) error {
+	for range maxChangeAttempts {
+		var version platform.Version
+		entry, err := store.Get(ctx, config.ChunkPrefix+hash)
+		switch errs.KindOf(err) {
+		case errs.NotFound:
+		default:
+			if err != nil {
+				return err
+			}
+			version = entry.Version
+		}
+		_, err = store.CompareAndSwap(ctx, config.ChunkPrefix+hash, chunk, version, 0)
+		if err == nil {
+			return nil
+		}
+		if errs.KindOf(err) != errs.Conflict && errs.KindOf(err) != errs.Ambiguous {
+			return err
+		}
 	}
-	return platform.Resolve(ctx, write, applied)
+	return errs.New(errs.Unavailable, "chunk "+hash+" could not be written", "run the command again")
 }
--- a/ctl/key.go
+++ b/ctl/key.go
@@ -1,11 +1,14 @@
 package ctl
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"lacewingmount.dev/config"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/keys"
+	"lacewingmount.dev/wire"
 )
 
 // KeyCommand grants and withdraws client keys.
@@ -25,20 +28,24 @@
 // Run implements the command.
 func (c *KeyGrantCommand) Run(env *Env) error {
 	key := keys.New()
-	store := c.open()
-	revision, err := changeSection(env.Context, store, c.Partner, c.Credential, func(section *config.Section) error {
+	change, err := newChange(c.Partner, c.Credential, func(section *config.Section, _ string, _ uint64) error {
 		section.Keys = append(section.Keys, config.Key{Account: c.Account, Hash: keys.Hash(key)})
 		return nil
 	})
 	if err != nil {
 		return err
 	}
+	revision, err := change.commit(env.Context, c.open())
+	if err != nil {
+		return err
+	}
 	env.printf("%s\n", key)
 	quiet := &Env{Context: env.Context, Out: discard{}}
-	return awaitRevision(quiet, store, revision, c.Wait)
+	return awaitRevision(quiet, c.StoreFlags, revision, c.Wait)
 }
 
-// KeyWithdrawCommand withdraws a key.
+// KeyWithdrawCommand withdraws a key. Agents are told directly, so it works
+// while the store is down; they write it to the store when it returns.
 type KeyWithdrawCommand struct {
 	StoreFlags
 	Partner string        `required:"" help:"Partner that the key belongs to."`
@@ -53,23 +60,67 @@
 	if hash == "" {
 		hash = keys.Hash(c.Key)
 	}
-	store := c.open()
-	revision, err := changeSection(env.Context, store, c.Partner, c.Credential, func(section *config.Section) error {
+	operator, err := keys.NewOperator(c.Credential)
+	if err != nil {
+		return err
+	}
+	vms, err := dialVMs(env.Context, c.open(), c.Agent)
+	if err != nil {
+		return err
+	}
+	defer closeVMs(vms)
+	withdrawal := config.NewWithdrawal(c.Partner, hash, operator)
+	told := tell(env, vms, withdrawal)
+	if err := c.record(env, hash); err != nil {
+		if told == 0 || errs.KindOf(err) != errs.Unavailable && errs.KindOf(err) != errs.Ambiguous {
+			return err
+		}
+		env.printf("not in the store yet (%v); the VMs write it when the store is back\n", err)
+	}
+	return awaitAll(env, vms, c.Wait, wire.StatusRequest{Key: withdrawal}, "withdrawn", refused)
+}
+
+// tell tells all agents at once of the withdrawal and returns how many took it.
+func tell(env *Env, vms []vmClient, withdrawal config.Withdrawal) int {
+	took := make([]bool, len(vms))
+	var all sync.WaitGroup
+	for i, vm := range vms {
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(env.Context, statusTimeout)
+			defer cancel()
+			question := wire.Withdrawals{Withdrawals: []config.Withdrawal{withdrawal}}
+			took[i] = vm.client.Call(ctx, wire.MethodWithdraw, question, nil) == nil
+		})
+	}
+	all.Wait()
+	count := 0
+	for _, ok := range took {
+		if ok {
+			count++
+		}
+	}
+	return count
+}
+
+// record writes the withdrawal to the store.
+func (c *KeyWithdrawCommand) record(env *Env, hash string) error {
+	change, err := newChange(c.Partner, c.Credential, func(section *config.Section, _ string, _ uint64) error {
 		return withdraw(section, hash)
 	})
 	if err != nil {
 		return err
 	}
-	env.printf("withdrawn in revision %d\n", revision)
-	return awaitRevision(env, store, revision, c.Wait)
+	revision, err := change.commit(env.Context, c.open())
+	if err == nil {
+		env.printf("recorded as revision %d, change %s\n", revision, change.id)
+	}
+	return err
 }
 
 func withdraw(section *config.Section, hash string) error {
-	kept := append([]config.Key(nil), section.Keys...)
-	for i := range kept {
-		if kept[i].Hash == hash {
-			kept[i].Withdrawn = true
-			section.Keys = kept
+	for i := range section.Keys {
+		if section.Keys[i].Hash == hash {
+			section.Keys[i].Withdrawn = true
 			return nil
 		}
 	}
--- a/ctl/section.go
+++ b/ctl/section.go
@@ -80,6 +80,7 @@
 		env.printf("%s\n", change)
 	}
 	env.printf("%d changes against revision %d\n", len(changes), current.document.Revision)
+	env.printf("to put them in force: apply --base %d\n", current.document.Revision)
 	return nil
 }
 
--- /dev/null
+++ b/daemon/check.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+
+	"lacewingmount.dev/errs"
+)
+
+// Check checks target, a pointer to a struct, against its validate tags, for
+// values that did not come through LoadYAML. Errors name the field as in YAML.
+func Check(name string, target any) error {
+	checker := newValidator()
+	checker.RegisterTagNameFunc(func(field reflect.StructField) string {
+		yamlName, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		return yamlName
+	})
+	err := checker.Struct(target)
+	if err == nil {
+		return nil
+	}
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) && len(fields) > 0 {
+		first := fields[0]
+		_, path, _ := strings.Cut(first.Namespace(), ".")
+		return errs.New(errs.Invalid, fmt.Sprintf("%s: %s is %v", name, path, first.Value()),
+			strings.TrimSpace(fmt.Sprintf("it must satisfy %s %s", first.Tag(), first.Param())))
+	}
+	return errs.Wrap(err, errs.Invalid, name, "correct the field shown")
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,10 +33,17 @@
 	events   *timeline.Ring
 	agent    *wire.Client
 	admin    *daemon.Admin
-	table    atomic.Pointer[Table]
+	held     atomic.Pointer[wire.Snapshot] // in force
+	table    atomic.Pointer[Table]         // compiled from held
 	stages   []Stage
 	served   *metrics.Counter
 	duration *metrics.Histogram
+
+	authority  *authority
+	inFlight   *inFlight
+	callers    *callers
+	stopping   atomic.Bool
+	reportSoon chan struct{}
 }
 
 // New returns an entry that asks the agent named in the settings.
@@ -44,18 +51,21 @@
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
 	agent := wire.NewClient(settings.Agent, events.Clock())
 	claimer := NewAgentClaimer(agent)
-	return &Entry{
+	e := &Entry{
 		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events),
-		stages: []Stage{
-			routeStage{},
-			identifyStage{},
-			admitStage{admitter: NewStaticSplit(), now: time.Now},
-			claimStage{claimer: claimer},
-			newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
-		},
-		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
-		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
+		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
+		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
+		authority: &authority{}, inFlight: newInFlight(), callers: newCallers(), reportSoon: make(chan struct{}, 1),
+	}
+	e.held.Store(&wire.Snapshot{})
+	e.stages = []Stage{
+		routeStage{},
+		identifyStage{authority: e.authority, inFlight: e.inFlight, newest: e.table.Load},
+		admitStage{admitter: NewStaticSplit(), now: time.Now},
+		claimStage{claimer: claimer},
+		newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
 	}
+	return e
 }
 
 // Run serves until ctx ends, then lets every request in flight finish.
@@ -72,21 +82,12 @@
 	server := newServer(e)
 	go func() { _ = server.Serve(listener) }()
 	go e.followSnapshots(background)
+	go e.reportToAgent(background)
+	go e.watchAuthority(background)
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	e.log.Info("started", zap.String("listen", e.settings.Listen))
 	<-ctx.Done()
-	return e.shutdown(server)
-}
-
-// shutdown reports not ready, waits for the balancer to notice and finishes what is in flight.
-func (e *Entry) shutdown(server *http.Server) error {
-	e.admin.SetReady(false)
-	e.events.Add(timeline.Event{Kind: timeline.KindStopping})
-	e.log.Info("stopping")
-	time.Sleep(e.settings.DrainDelay.Std())
-	err := server.Shutdown(context.Background())
-	e.log.Info("stopped")
-	return err
+	return e.shutdown(server, listener)
 }
 
 const (
@@ -94,9 +95,10 @@
 	callerIdleTimeout = 75 * time.Second
 )
 
-func newServer(handler http.Handler) *http.Server {
+func newServer(e *Entry) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           e,
+		ConnState:         e.callers.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -108,6 +110,11 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
+	e.inFlight.begin(x)
+	defer e.inFlight.end(x)
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/config"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
@@ -18,40 +20,85 @@
 // followSnapshots keeps the table up to date until ctx ends. While the agent is
 // gone, the last table stays in use.
 func (e *Entry) followSnapshots(ctx context.Context) {
-	var have uint64
 	for ctx.Err() == nil {
-		snapshot, err := e.nextSnapshot(ctx, have)
+		snapshot, err := e.nextSnapshot(ctx)
+		if err == nil {
+			err = e.adopt(snapshot)
+		}
 		if err != nil {
-			have = 0 // a restarted agent counts its snapshots anew
-			time.Sleep(snapshotRetry)
-			continue
+			pause(ctx, snapshotRetry)
 		}
-		have = snapshot.Sequence
-		e.adopt(snapshot)
 	}
 }
 
-func (e *Entry) nextSnapshot(ctx context.Context, have uint64) (wire.Snapshot, error) {
+func (e *Entry) nextSnapshot(ctx context.Context) (wire.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	have := e.held.Load()
+	request := wire.SnapshotRequest{Incarnation: have.Incarnation, Have: have.Sequence}
 	var snapshot wire.Snapshot
-	err := e.agent.Call(ctx, wire.MethodSnapshot, wire.SnapshotRequest{Have: have}, &snapshot)
+	err := e.agent.Call(ctx, wire.MethodSnapshot, request, &snapshot)
 	return snapshot, err
 }
 
-// adopt compiles the snapshot unless it is older than what is in force.
-func (e *Entry) adopt(snapshot wire.Snapshot) {
-	previous := e.table.Load()
-	if snapshot.Document == nil || (previous != nil && snapshot.Document.Revision < previous.Revision) {
-		return
+// adopt puts a snapshot in force. Its revision never falls and no withdrawal is
+// forgotten, whatever a restarted agent says.
+func (e *Entry) adopt(snapshot wire.Snapshot) error {
+	held := e.held.Load()
+	if snapshot.Incarnation == held.Incarnation && snapshot.Sequence == held.Sequence {
+		return nil
+	}
+	next, err := merge(*held, snapshot)
+	if err != nil {
+		e.log.Error("snapshot refused", zap.Error(err))
+		return err
+	}
+	if next.Document != nil {
+		previous := e.table.Load()
+		table := newTable(next, previous)
+		e.table.Store(table)
+		e.endWithdrawn(table)
+		if previous == nil || previous.Revision != table.Revision {
+			e.events.Add(timeline.Event{Kind: timeline.KindConfigured, Revision: table.Revision})
+			e.log.Info("configured", zap.Uint64("revision", table.Revision))
+		}
+	}
+	e.held.Store(&next) // last, so that the agent is told of nothing that is not in force
+	e.reportNow()
+	return nil
+}
+
+// merge returns the snapshot to put in force: the agent's, with whatever of the
+// held one is newer.
+func merge(held, snapshot wire.Snapshot) (wire.Snapshot, error) {
+	next := snapshot
+	if snapshot.Stored != nil {
+		document, err := config.Decode(snapshot.Stored.Root, held.Document, snapshot.Stored.Fetch)
+		if err != nil {
+			return wire.Snapshot{}, err
+		}
+		next.Document = document
 	}
-	table := newTable(snapshot, previous)
-	e.table.Store(table)
-	if previous == nil {
-		e.admin.SetReady(true)
+	if next.Document == nil || (held.Document != nil && next.Document.Revision < held.Document.Revision) {
+		next.Stored, next.Document = held.Stored, held.Document
 	}
-	if previous == nil || previous.Revision != table.Revision {
-		e.events.Add(timeline.Event{Kind: timeline.KindConfigured, Revision: table.Revision})
-		e.log.Info("configured", zap.Uint64("revision", table.Revision))
+	if next.Members == 0 {
+		next.Members = held.Members
+	}
+	for _, withdrawal := range held.Withdrawals {
+		covered := next.Document != nil && next.Document.Covers(withdrawal)
+		if !covered && !slices.ContainsFunc(next.Withdrawals, withdrawal.Equal) {
+			next.Withdrawals = append(slices.Clone(next.Withdrawals), withdrawal)
+		}
+	}
+	return next, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -2,27 +2,38 @@
 
 import (
 	"net/http"
+	"time"
 
 	"lacewingmount.dev/keys"
 )
 
 // identifyStage finds the client account of a request and removes its key.
-type identifyStage struct{}
+type identifyStage struct {
+	authority *authority
+	inFlight  *inFlight
+	newest    func() *Table
+}
 
 func (identifyStage) Name() string { return "identify" }
 
-func (identifyStage) Serve(x *Exchange) *Refusal {
+func (s identifyStage) Serve(x *Exchange) *Refusal {
 	key, one := keys.FromHeader(x.Request.Header)
 	keys.Strip(x.Request.Header)
 	if x.Route.Open {
 		return nil
 	}
+	if !s.authority.holds(time.Now()) {
+		return notRun(http.StatusServiceUnavailable, ReasonAuthority, "this VM cannot know whether the key was withdrawn; try another one").after(time.Second)
+	}
 	if !one {
 		return notRun(http.StatusUnauthorized, ReasonKey, "send exactly one "+keys.Header+" header")
 	}
-	x.KeyHash = keys.Hash(key)
-	account := x.Table.accounts[x.KeyHash]
-	if account == nil {
+	// The key is registered before the newest table is asked, so that a
+	// withdrawal meets the request either here or among those in flight.
+	hash := keys.Hash(key)
+	s.inFlight.setKey(x, hash)
+	account := x.Table.accounts[hash]
+	if account == nil || s.newest().accounts[hash] == nil {
 		return notRun(http.StatusUnauthorized, ReasonKey, "the key is not known or was withdrawn")
 	}
 	if !x.Table.Allowed(account, x.Route.Service) {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -42,6 +42,7 @@
 	ReasonServerFailed Reason = "server-failed"
 	ReasonTimeout      Reason = "timeout"
 	ReasonNotReady     Reason = "not-ready"
+	ReasonAuthority    Reason = "no-key-authority"
 )
 
 // Refusal is an answer of the entry's own in place of the backend server's.
--- a/entry/table.go
+++ b/entry/table.go
@@ -48,6 +48,9 @@
 	for i := range snapshot.Document.Sections {
 		table.addSection(&snapshot.Document.Sections[i], previous)
 	}
+	for hash, account := range snapshot.Document.ActiveKeys(snapshot.Withdrawals) {
+		table.accounts[hash] = table.byName[account]
+	}
 	return table
 }
 
@@ -65,11 +68,6 @@
 		t.byName[account.Name] = account
 		t.partners[account.Name] = section.Partner
 	}
-	for _, key := range section.Keys {
-		if !key.Withdrawn {
-			t.accounts[key.Hash] = t.byName[key.Account]
-		}
-	}
 }
 
 func newService(service config.Service, previous *Table) *Service {
--- a/membership/home.go
+++ b/membership/home.go
@@ -40,3 +40,16 @@
 	x ^= x >> 33
 	return x
 }
+
+// Among reports whether the named member is one of the n that weigh most for key.
+func Among(members []Member, key, name string, n int) bool {
+	own := weightOf(name, key)
+	ahead := 0
+	for _, member := range members {
+		weight := weightOf(member.Name, key)
+		if weight > own || (weight == own && member.Name < name) {
+			ahead++
+		}
+	}
+	return ahead < n
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -22,6 +22,7 @@
 	random    *rand.Rand
 	records   map[string]*record
 	order     []*record // by name, so that equal inputs give equal decisions
+	seeds     []*record // addresses of agents whose names are not known
 	listed    bool      // the platform's list was seen at least once
 	lastRound time.Time
 	rounds    int
@@ -81,11 +82,12 @@
 	}
 }
 
-// AddSeeds makes VMs known that may exist, for a start without the platform's list.
-func (v *View) AddSeeds(now time.Time, seeds []Member) {
-	for _, seed := range seeds {
-		if r := v.record(now, seed.Name); r.update.Address == "" {
-			r.update.Address, r.update.Zone = seed.Address, seed.Zone
+// AddSeeds names addresses of agents to ask while few VMs are known, for a start
+// without the platform's list.
+func (v *View) AddSeeds(addresses []string) {
+	for _, address := range addresses {
+		if address != v.self.Address {
+			v.seeds = append(v.seeds, &record{update: Update{Address: address}})
 		}
 	}
 }
@@ -158,7 +160,8 @@
 	var chosen []*record
 	chosen = v.choose(chosen, missed, 1)
 	chosen = v.choose(chosen, live, Targets-1)
-	return v.choose(chosen, callable, Targets)
+	chosen = v.choose(chosen, callable, Targets)
+	return v.choose(chosen, v.seeds, min(Targets, len(chosen)+Targets-len(callable)))
 }
 
 // choose adds random records to chosen until there are want or no more.
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -44,6 +44,15 @@
 	return view
 }
 
+func (n *network) named(address string) string {
+	for _, member := range n.list {
+		if member.Address == address {
+			return member.Name
+		}
+	}
+	return ""
+}
+
 func (n *network) lost(from, to string) bool {
 	return n.views[to] == nil || n.paused[to] || n.cut(from, to) || n.random.Float64() < n.loss
 }
@@ -64,6 +73,9 @@
 func (n *network) round(name string, view *View) {
 	for _, probe := range view.Round(n.now) {
 		to := probe.To.Name
+		if to == "" { // a seed
+			to = n.named(probe.To.Address)
+		}
 		n.count(probe.Message)
 		if n.lost(name, to) {
 			view.Missed(n.now, probe)
@@ -245,7 +257,7 @@
 	if !late.Contact().IsZero() {
 		t.Fatal("contact without peers and without a list")
 	}
-	late.AddSeeds(n.now, n.list[:2])
+	late.AddSeeds([]string{n.list[0].Address, n.list[1].Address})
 	n.views["vm-new"] = late
 	n.list = append(n.list, Member{Name: "vm-new"})
 	n.run(20 * time.Second)
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -17,6 +17,20 @@
 	KindAnswerUnknown Kind = "answer-unknown"
 )
 
+// Event kinds of configuration, keys and shutdown.
+const (
+	KindConfigRejected Kind = "config-rejected"
+	KindStoreBehind    Kind = "store-behind" // the store holds an older document than the VM
+	KindKeyWithdrawn   Kind = "key-withdrawn"
+	KindKeysRecorded   Kind = "withdrawals-recorded" // written to the store
+	KindAuthorityLost  Kind = "key-authority-lost"
+	KindAuthorityBack  Kind = "key-authority-back"
+	KindHandedBack     Kind = "handed-back" // by the entry to its restarted agent
+	KindStreamEnded    Kind = "stream-ended"
+	KindStopped        Kind = "stopped"
+	KindDrainWait      Kind = "drain-wait"
+)
+
 // Event is one entry of the time line. Empty fields do not apply.
 type Event struct {
 	At       Stamp  `json:"at"`
--- a/wire/exchange.go
+++ b/wire/exchange.go
@@ -8,4 +8,5 @@
 // Exchange is one half of an exchange between two agents.
 type Exchange struct {
 	Members membership.Message `json:"m"`
+	Config  ConfigDigest       `json:"c"`
 }
