--- a/entry/backend_test.go
+++ b/entry/backend_test.go
@@ -237,7 +237,8 @@
 	b := &bench{picker: &orderPicker{}, claimer: &memoryClaimer{records: map[string]*wire.SettleRequest{}}}
 	e := New(Settings{VM: "vm", Zone: "a", Agent: "127.0.0.1:1"}, zap.NewNop())
 	b.stage = newForwardStage(b.picker, b.claimer)
-	e.stages = []Stage{routeStage{}, identifyStage{}, claimStage{claimer: b.claimer}, b.stage}
+	e.authority.extend(time.Now(), time.Hour)
+	e.stages = []Stage{e.stages[0], e.stages[1], claimStage{claimer: b.claimer}, b.stage}
 	e.table.Store(newTable(wire.Snapshot{Document: benchDocument(addresses)}, nil))
 	b.entry = e
 	b.Server = httptest.NewUnstartedServer(e)
