--- a/agent/claims.go
+++ b/agent/claims.go
@@ -23,11 +23,12 @@
 )
 
 const (
-	ownerSeparator   = "/"                    // between the VM and the run of its agent in an owner's name
-	ownerCallTimeout = 600 * time.Millisecond // for one agent; then the next one takes the bucket over
-	ownerSuspectTime = 3 * time.Second        // in which an agent that did not answer is asked last
-	ownerTries       = 3                      // agents that are asked
-	settlePoll       = 10 * time.Millisecond  // while a bucket is taken over
+	ownerSeparator     = "/"                    // between the VM and the run of its agent in an owner's name
+	ownerCallTimeout   = 600 * time.Millisecond // for one agent; then the next one takes the bucket over
+	ownerSuspectTime   = 3 * time.Second        // in which an agent that did not answer is asked last
+	ownerTries         = 3                      // agents that are asked
+	ownerDecideTimeout = 3 * time.Second        // the caller has given up by then
+	settlePoll         = 10 * time.Millisecond  // while a bucket is taken over
 )
 
 // claims finds the owner of each protected request's bucket, which may be this agent.
@@ -230,6 +231,8 @@
 	if err != nil {
 		return wire.ClaimAnswer{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, ownerDecideTimeout)
+	defer cancel()
 	bucket := c.buckets[once.BucketOf(claim.ID, once.Buckets)]
 	const rounds = 2 // the first may find out that the bucket was lost
 	for range rounds {
--- a/once/bucket.go
+++ b/once/bucket.go
@@ -358,6 +358,7 @@
 			b.decide(now, w)
 		}
 	}
+	b.ledger.closeAnswered()
 }
 
 // lost handles a position that another agent won.
--- a/once/bucket_test.go
+++ b/once/bucket_test.go
@@ -178,7 +178,9 @@
 	first := s.newKey(1, 0)
 	s.ask(0, first, 1, 1)
 	for i := range 4 * simSettings.Ring {
-		s.ask(0, s.newKey(100+i, 0), 100+i, 1)
+		key := s.newKey(100+i, 0)
+		s.ask(0, key, 100+i, 1)
+		s.end(0, key, 100+i, Settlement{Kept: []byte("answer")})
 	}
 	if got := s.ask(1, first, 2, 1); got != Pending {
 		t.Fatalf("a claim that the ring has overwritten: %s", got)
@@ -190,6 +192,11 @@
 	}
 	s.runUntil(s.now.Add(calmWindow))
 	left, claims := len(s.store.values), s.agents[1].bucket.Claims()
+	for _, agent := range s.agents {
+		if l := agent.bucket.ledger; len(l.open)+len(l.dirty) > 0 || len(l.keptOrder) > len(l.records) {
+			t.Fatalf("%d open, %d dirty, %d kept of %d claims", len(l.open), len(l.dirty), len(l.keptOrder), len(l.records))
+		}
+	}
 	if left >= most || left > simSettings.Ring || claims != 0 {
 		t.Fatalf("%d keys of %d and %d claims are left after the window", left, most, claims)
 	}
--- a/once/ledger.go
+++ b/once/ledger.go
@@ -1,6 +1,9 @@
 package once
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Verdict is the answer to a claim.
 type Verdict string
@@ -53,6 +56,7 @@
 type ledger struct {
 	settings  Settings
 	floor     int64 // confirmed; milliseconds
+	swept     int64 // floor up to which records were dropped
 	records   map[ID]*held
 	dirty     []ID // in order of change
 	open      []ID // have claims that wait
@@ -106,9 +110,11 @@
 			ID: claim.ID, Stamp: claim.Stamp.UnixMilli(), Digest: claim.Digest, Attempt: claim.Attempt, State: Claimed,
 		}}
 		l.records[claim.ID] = known
-		l.open = append(l.open, claim.ID)
 		l.mark(known)
 	}
+	if len(known.waiters) == 0 {
+		l.open = append(l.open, claim.ID)
+	}
 	known.waiters = append(known.waiters, waiter{ticket: ticket, claim: claim})
 }
 
@@ -220,6 +226,14 @@
 	return waiting
 }
 
+// closeAnswered drops from open what has no claims that wait.
+func (l *ledger) closeAnswered() {
+	l.open = slices.DeleteFunc(l.open, func(id ID) bool {
+		known := l.records[id]
+		return known == nil || len(known.waiters) == 0
+	})
+}
+
 // takeWaiters returns all claims that wait, which then wait no longer.
 func (l *ledger) takeWaiters() []waiter {
 	var all []waiter
@@ -260,13 +274,25 @@
 	return false
 }
 
-// forget drops the records below the floor.
+// sweepSteps is how often per window records are dropped.
+const sweepSteps = 64
+
+// forget raises the floor, below which nothing is granted, and drops the records
+// below it from time to time.
 func (l *ledger) forget(floor int64) {
 	l.floor = max(l.floor, floor)
+	if l.floor-l.swept < l.settings.Window.Past.Milliseconds()/sweepSteps {
+		return
+	}
+	l.swept = l.floor
 	for id, known := range l.records {
 		if known.Stamp < l.floor && known.confirmed {
 			l.keptBytes -= len(known.Kept)
 			delete(l.records, id)
 		}
 	}
+	l.keptOrder = slices.DeleteFunc(l.keptOrder, func(id ID) bool {
+		known := l.records[id]
+		return known == nil || len(known.Kept) == 0
+	})
 }
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -51,11 +51,11 @@
 	return answer.StatusCode, string(content), err
 }
 
-func cmdPut(ts *testscript.TestScript, _ bool, args []string) {
+func cmdPut(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 {
 		ts.Fatalf("usage: put URL BODY")
 	}
-	perform(ts, http.MethodPut, args[0], []string{"Content-Type:application/json"}, args[1])
+	cmdRequest(ts, neg, []string{http.MethodPut, args[0], "Content-Type:application/json", "-body", args[1]})
 }
 
 // cmdRequest prints the status line, the sorted headers and the body.
@@ -63,42 +63,47 @@
 	if len(args) < 2 {
 		ts.Fatalf("usage: request METHOD URL [HEADER:VALUE ...] [-body TEXT]")
 	}
-	var headers []string
-	body := ""
-	for i := 2; i < len(args); i++ {
-		if args[i] == "-body" && i+1 < len(args) {
-			body = args[i+1]
-			break
-		}
-		headers = append(headers, args[i])
-	}
-	ok := perform(ts, args[0], args[1], headers, body)
+	text, ok := describe(newRequest(ts, args))
+	_, _ = io.WriteString(ts.Stdout(), text)
 	if ok == neg {
 		ts.Fatalf("the request succeeded: %t", ok)
 	}
 }
 
-// perform sends a request and reports whether a whole answer below 400 came back.
-func perform(ts *testscript.TestScript, method, url string, headers []string, body string) bool {
-	request, err := http.NewRequest(method, url, strings.NewReader(body))
+// newRequest reads the arguments of the request command.
+func newRequest(ts *testscript.TestScript, args []string) *http.Request {
+	body := ""
+	for i, arg := range args {
+		if arg == "-body" && i+1 < len(args) {
+			body, args = args[i+1], args[:i]
+			break
+		}
+	}
+	request, err := http.NewRequest(args[0], args[1], strings.NewReader(body))
 	ts.Check(err)
-	for _, header := range headers {
+	for _, header := range args[2:] {
 		name, value, _ := strings.Cut(header, ":")
 		request.Header.Add(name, value)
 	}
+	return request
+}
+
+// describe performs the request and returns the answer as text; ok means a whole
+// answer below 400.
+func describe(request *http.Request) (text string, ok bool) {
 	answer, err := client.Do(request)
 	if err != nil {
-		fmt.Fprintf(ts.Stdout(), "no answer: %v\n", err)
-		return false
+		return fmt.Sprintf("no answer: %v\n", err), false
 	}
 	defer answer.Body.Close()
+	var printed strings.Builder
+	printed.WriteString(answer.Status + "\n")
+	_ = answer.Header.Write(&printed)
 	content, err := io.ReadAll(answer.Body)
-	fmt.Fprintf(ts.Stdout(), "%s\n", answer.Status)
-	_ = answer.Header.Write(ts.Stdout())
-	fmt.Fprintf(ts.Stdout(), "\n%s\n", content)
+	fmt.Fprintf(&printed, "\n%s\n", content)
 	if err != nil {
-		fmt.Fprintf(ts.Stdout(), "answer broke off: %v\n", err)
-		return false
+		fmt.Fprintf(&printed, "answer broke off: %v\n", err)
+		return printed.String(), false
 	}
-	return answer.StatusCode < http.StatusBadRequest
+	return printed.String(), answer.StatusCode < http.StatusBadRequest
 }
