Judge backend servers by the evidence of all VMs

Two deterministic libraries: health counts how requests end at each server, shares the counts with the service's home and judges there by sequential tests whose thresholds follow from the wanted rate of false ejections; balance chooses by own load, latency and zone. healthbench drives both over virtual time. Not wired into the programs yet.

Ruled out: the requests in flight of other VMs, a second old, in the choice of a server.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,37 +6,115 @@
 
 // Candidate is a backend server that may be chosen.
 type Candidate struct {
-	Index    int  // position in the service's list
-	InFlight int  // requests that this VM has there
-	Slots    int  // requests that the server runs at once
-	SameZone bool // in the VM's own availability zone
+	Index    int     // position in the service's list
+	InFlight int     // requests that this VM has there
+	Slots    int     // requests that the server runs at once
+	SameZone bool    // in the VM's own availability zone
+	Weight   float64 // share of a full server's requests, above 0 and at most 1
+	Latency  float64 // mean of its answers, seconds; 0 if not known
+	Suspect  bool    // may be failing; protected requests go elsewhere if they can
+	Shedding bool    // refused a request a moment ago
 }
 
-// Pick chooses the less loaded of two random candidates and returns its Index.
-// ok is false if there is no candidate.
-func Pick(candidates []Candidate, random *rand.Rand) (index int, ok bool) {
-	switch len(candidates) {
-	case 0:
+const (
+	exploreOneIn     = 8   // choices that ignore the zone, so that each VM knows servers of all zones
+	spillLoad        = 0.5 // of the slots in use; from there on other zones are considered
+	latencyTolerance = 1.5 // ratio of mean latencies that does not matter
+	sheddingCost     = 8   // a server that shed counts as this much more loaded
+)
+
+// Pick chooses the better of two random candidates, first among those of the
+// VM's own zone and, if that one is busy, among all. It returns the candidate's
+// Index. ok is false if there is no candidate.
+func Pick(candidates []Candidate, protected bool, random *rand.Rand) (index int, ok bool) {
+	if protected {
+		candidates = withoutSuspects(candidates)
+	}
+	if len(candidates) == 0 {
 		return 0, false
-	case 1:
-		return candidates[0].Index, true
 	}
-	first := random.IntN(len(candidates))
-	second := random.IntN(len(candidates) - 1)
-	if second >= first {
-		second++
+	near := sameZone(candidates)
+	if len(near) == 0 || random.IntN(exploreOneIn) == 0 {
+		return pickTwo(candidates, random).Index, true
 	}
-	return better(candidates[first], candidates[second]).Index, true
+	best := pickTwo(near, random)
+	if best.load() > spillLoad || best.Shedding || best.Suspect {
+		best = better(best, pickTwo(candidates, random))
+	}
+	return best.Index, true
 }
 
-func better(a, b Candidate) Candidate {
-	if a.InFlight != b.InFlight {
-		if a.InFlight < b.InFlight {
-			return a
+// withoutSuspects leaves out suspects and servers that shed, unless none with a free slot is left.
+func withoutSuspects(candidates []Candidate) []Candidate {
+	trusted := make([]Candidate, 0, len(candidates))
+	free := false
+	for _, c := range candidates {
+		if !c.Suspect {
+			trusted = append(trusted, c)
+			free = free || c.load() <= 1
 		}
-		return b
 	}
-	if b.SameZone && !a.SameZone {
+	if !free {
+		return candidates
+	}
+	return trusted
+}
+
+func sameZone(candidates []Candidate) []Candidate {
+	near := make([]Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if c.SameZone {
+			near = append(near, c)
+		}
+	}
+	return near
+}
+
+func pickTwo(candidates []Candidate, random *rand.Rand) Candidate {
+	first := sample(candidates, random)
+	if len(candidates) == 1 {
+		return candidates[first]
+	}
+	second := sample(candidates, random)
+	if second == first {
+		second = (first + 1 + random.IntN(len(candidates)-1)) % len(candidates)
+	}
+	return better(candidates[first], candidates[second])
+}
+
+// sample draws a candidate by weight.
+func sample(candidates []Candidate, random *rand.Rand) int {
+	for range 2 * len(candidates) {
+		i := random.IntN(len(candidates))
+		if weight := candidates[i].Weight; weight >= 1 || random.Float64() < weight {
+			return i
+		}
+	}
+	return random.IntN(len(candidates))
+}
+
+// load returns this VM's requests per slot if one more were sent. Requests of
+// other VMs are left out: heard of a second late, they make all VMs turn to the
+// same servers at once.
+func (c Candidate) load() float64 {
+	return float64(c.InFlight+1) / float64(max(c.Slots, 1))
+}
+
+// cost is what better compares: load and latency against the other's.
+func (c Candidate) cost(other Candidate) float64 {
+	cost := c.load() / c.Weight
+	if c.Latency > 0 && other.Latency > 0 {
+		cost *= max(1, c.Latency/other.Latency/latencyTolerance)
+	}
+	if c.Shedding {
+		cost *= sheddingCost
+	}
+	return cost
+}
+
+func better(a, b Candidate) Candidate {
+	costA, costB := a.cost(b), b.cost(a)
+	if costB < costA || costB == costA && b.SameZone && !a.SameZone {
 		return b
 	}
 	return a
--- /dev/null
+++ b/health/policy.go
@@ -0,0 +1,67 @@
+package health
+
+import (
+	"math"
+	"time"
+
+	"lacewingmount.dev/config"
+)
+
+// Policy holds what a partner's answers decide.
+type Policy struct {
+	FalseEjections float64 // wanted at most, for each server and day
+}
+
+// PolicyFor derives the policy from what weighs more for the partner.
+func PolicyFor(concern config.Concern) Policy {
+	if concern == config.ConcernDetectionTime {
+		return Policy{FalseEjections: 0.1}
+	}
+	return Policy{FalseEjections: 0.001}
+}
+
+const (
+	// falseAvoidances are the needless avoidances of one server by one VM or
+	// zone, for each day. They cost little, since the other VMs stay.
+	falseAvoidances = 1.0
+
+	minObservationRate = 0.02 // each second and server; bounds the threshold from below
+	day                = 24 * time.Hour
+)
+
+// threshold returns the sum at which a test raises an alarm, so that all tests
+// together raise at most the wanted number of false alarms a day on a server
+// with rate observations a second.
+func threshold(wanted, rate float64) float64 {
+	observations := max(rate, minObservationRate) * day.Seconds()
+	return math.Log(float64(tests) * observations / wanted)
+}
+
+const (
+	// ReportPeriod is the time between two reports when nothing is wrong.
+	ReportPeriod = time.Second
+	// UrgentPeriod is the time between two reports when there is news of trouble.
+	UrgentPeriod = 250 * time.Millisecond
+	// VerdictLife is how long a verdict holds after the report that it answers was sent.
+	VerdictLife = 4 * time.Second
+
+	ejectionFirst    = 10 * time.Second
+	ejectionMost     = 5 * time.Minute
+	returnsForgotten = 5 * time.Minute // one ejection in a row less after this time in service
+	slowStart        = 10 * time.Second
+	slowStartShare   = 0.1 // share of requests at the beginning
+	trialsNeeded     = 10  // good answers in probation
+	trialRate        = 2.0 // requests a second to a server in probation, from all VMs
+
+	drainForgotten = 15 * time.Minute // a server that never showed its drain in its health answer
+	reporterMemory = time.Minute      // a VM that is silent for longer starts anew
+
+	probeQuiet    = time.Second     // a server nobody had an answer from for this long is probed
+	probeDraining = 2 * time.Second // between two probes of a draining server
+	cleanProbes   = 3               // in a row without the drain flag end a drain
+)
+
+// ejectionTime doubles with each ejection in a row.
+func ejectionTime(returns int) time.Duration {
+	return min(ejectionFirst<<min(returns, 10), ejectionMost)
+}
--- /dev/null
+++ b/health/score.go
@@ -0,0 +1,130 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	sumLimit      = 4 // times the threshold, so that a recovery is noticed
+	scoreHalfLife = 10 * time.Minute
+	fadePeriod    = time.Second
+	doubtLimit    = 0.5 // of the threshold that requests on silent connections may fill
+)
+
+// total adds up observations of one server in one test.
+type total struct {
+	sum     float64 // of the ratios
+	squares float64 // of the ratios
+	buckets float64 // sum of the latency buckets
+	n       float64
+}
+
+func (t *total) addRatio(count uint32, ratio float64, bucket int) {
+	n := float64(count)
+	t.sum += n * ratio
+	t.squares += n * ratio * ratio
+	t.buckets += n * float64(bucket)
+	t.n += n
+}
+
+func (t *total) add(other total) {
+	t.sum += other.sum
+	t.squares += other.squares
+	t.buckets += other.buckets
+	t.n += other.n
+}
+
+func (t total) since(earlier total) total {
+	return total{t.sum - earlier.sum, t.squares - earlier.squares, t.buckets - earlier.buckets, t.n - earlier.n}
+}
+
+// latency returns the mean latency bucket.
+func (t total) latency() float64 { return t.buckets / t.n }
+
+// deviation returns the mean square of the ratios' distance from center.
+func (t total) deviation(center float64) float64 {
+	return t.squares/t.n - 2*center*t.sum/t.n + center*center
+}
+
+// score is one sequential test of one server. An excursion begins when the sum
+// rises above zero and ends when it falls back.
+type score struct {
+	sum    float64
+	n      float64 // observations in the excursion
+	doubt  float64 // part of the sum from connections that may have gone silent
+	byVM   []float64
+	byZone []float64
+	before []total // of all servers, when the excursion began
+}
+
+// part names the VM and the availability zone that an observation came from.
+type part struct {
+	vm, zone int
+}
+
+// begin starts an excursion if there is none.
+func (s *score) begin(totals []total) {
+	if s.sum > 0 {
+		return
+	}
+	s.n, s.doubt = 0, 0
+	clear(s.byVM)
+	clear(s.byZone)
+	s.before = append(s.before[:0], totals...)
+}
+
+// add takes in n observations with the given sum of ratios.
+func (s *score) add(from part, sum, n float64) {
+	s.sum += sum
+	s.n += n
+	addPart(&s.byVM, from.vm, sum)
+	addPart(&s.byZone, from.zone, sum)
+	s.sum = max(s.sum, 0)
+}
+
+func addPart(parts *[]float64, index int, sum float64) {
+	for len(*parts) <= index {
+		*parts = append(*parts, 0)
+	}
+	(*parts)[index] += sum
+}
+
+func (s *score) scale(by float64) {
+	s.sum *= by
+	s.n *= by
+	s.doubt *= by
+	for i := range s.byVM {
+		s.byVM[i] *= by
+	}
+	for i := range s.byZone {
+		s.byZone[i] *= by
+	}
+}
+
+// limit keeps the sum below limit.
+func (s *score) limit(limit float64) {
+	if s.sum > limit {
+		s.scale(limit / s.sum)
+	}
+}
+
+// withoutLoudest returns the sum of all parts but the largest, and its index.
+func withoutLoudest(parts []float64) (rest float64, loudest int) {
+	loudest = -1
+	for i, sum := range parts {
+		rest += sum
+		if loudest < 0 || sum > parts[loudest] {
+			loudest = i
+		}
+	}
+	if loudest >= 0 {
+		rest -= parts[loudest]
+	}
+	return rest, loudest
+}
+
+// fadeFactor is what is left of a score after elapsed.
+func fadeFactor(elapsed time.Duration) float64 {
+	return math.Exp2(-elapsed.Seconds() / scoreHalfLife.Seconds())
+}
