--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -19,12 +20,18 @@
 	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
 	Admin    string `yaml:"admin" validate:"hostname_port"`
 	Platform string `yaml:"platform" validate:"http_url"`
+	Profile  bool   `yaml:"profile"` // serves runtime profiles on the admin address
 
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
 	PeerAddresses map[string]string `yaml:"peer_addresses" validate:"dive,hostname_port"`
 }
 
+// member returns this VM as its peers are told of it.
+func (s Settings) member() membership.Member {
+	return membership.Member{Name: s.VM, Zone: s.Zone, Address: s.Listen}
+}
+
 // Agent is the control plane of one VM.
 type Agent struct {
 	settings Settings
@@ -35,21 +42,27 @@
 	state    *state
 	peers    *peers
 	claims   *claims
+	judges   *judges
 }
 
 // New returns an agent that uses the given store and list of VMs.
 func New(settings Settings, log *zap.Logger, store platform.Store, vms platform.VMList) *Agent {
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-agent")
-	return &Agent{
+	agent := &Agent{
 		settings: settings, log: log, events: events, store: store, vms: vms,
 		state: newState(), claims: newClaims(store),
-		peers: newPeers(settings.VM, settings.PeerAddresses, events.Clock()),
+		peers: newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now),
 	}
+	agent.judges = newJudges(settings.VM, agent.peers, agent.state, log, events)
+	return agent
 }
 
 // Run serves until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	admin := daemon.NewAdmin(a.events)
+	if a.settings.Profile {
+		admin.EnableProfiling()
+	}
 	if err := admin.Start(ctx, a.settings.Admin); err != nil {
 		return err
 	}
@@ -60,6 +73,8 @@
 	go a.handlers().Serve(ctx, listener)
 	go a.followDocument(ctx)
 	go a.followMembers(ctx)
+	go a.exchangeWithPeers(ctx)
+	go a.judges.run(ctx)
 	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	a.log.Info("started", zap.String("listen", a.settings.Listen))
 	admin.SetReady(true)
@@ -72,6 +87,9 @@
 func (a *Agent) handlers() *wire.Handlers {
 	handlers := wire.NewHandlers(a.events.Clock())
 	wire.Handle(handlers, wire.MethodSnapshot, a.snapshot)
+	wire.Handle(handlers, wire.MethodExchange, a.exchange)
+	wire.Handle(handlers, wire.MethodHealth, a.judges.report)
+	wire.Handle(handlers, wire.MethodJudge, a.judges.observe)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
 	return handlers
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	Listen     string          `yaml:"listen" validate:"hostname_port"` // callers
 	Admin      string          `yaml:"admin" validate:"hostname_port"`
 	Agent      string          `yaml:"agent" validate:"hostname_port"`
+	Profile    bool            `yaml:"profile"`     // serves runtime profiles on the admin address
 	DrainDelay daemon.Duration `yaml:"drain_delay"` // between not ready and the last new connection
 }
 
@@ -34,6 +35,7 @@
 	agent    *wire.Client
 	admin    *daemon.Admin
 	table    atomic.Pointer[Table]
+	servers  *serverPicker
 	stages   []Stage
 	served   *metrics.Counter
 	duration *metrics.Histogram
@@ -44,14 +46,15 @@
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
 	agent := wire.NewClient(settings.Agent, events.Clock())
 	claimer := NewAgentClaimer(agent)
+	servers := newServerPicker(settings, agent, events, log)
 	return &Entry{
-		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events),
+		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers,
 		stages: []Stage{
 			routeStage{},
 			identifyStage{},
 			admitStage{admitter: NewStaticSplit(), now: time.Now},
 			claimStage{claimer: claimer},
-			newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
+			newForwardStage(servers, claimer),
 		},
 		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
@@ -62,6 +65,9 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if e.settings.Profile {
+		e.admin.EnableProfiling()
+	}
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
@@ -72,6 +78,7 @@
 	server := newServer(e)
 	go func() { _ = server.Serve(listener) }()
 	go e.followSnapshots(background)
+	go e.servers.run(background)
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	e.log.Info("started", zap.String("listen", e.settings.Listen))
 	<-ctx.Done()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -46,6 +46,7 @@
 		return
 	}
 	table := newTable(snapshot, previous)
+	e.servers.setTable(table)
 	e.table.Store(table)
 	if previous == nil {
 		e.admin.SetReady(true)
--- a/health/drain.go
+++ b/health/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -26,7 +27,7 @@
 	if !s.drain.active {
 		s.drain = drain{active: true}
 		j.version++
-		j.event(EventDraining, s, "says that it leaves, by %s", by)
+		j.event(timeline.KindDraining, s, "says that it leaves, by %s", by)
 	}
 	s.drain.since, s.drain.clean = now, 0
 }
@@ -90,7 +91,7 @@
 func (j *Judge) endDrain(now time.Time, i int, s *server) {
 	s.drain = drain{}
 	j.version++
-	j.event(EventDrainEnded, s, "%d health answers without the drain flag", cleanProbes)
+	j.event(timeline.KindDrainEnded, s, "%d health answers without the drain flag", cleanProbes)
 	if s.state == wire.StateInService {
 		s.state, s.since, s.until = wire.StateSlowStart, now, now.Add(slowStart)
 		j.fleet.reset(i, 0)
--- a/health/eject.go
+++ b/health/eject.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -55,7 +56,7 @@
 	s.level = found.level
 	if !j.allowed(i) {
 		if !s.withheld {
-			j.event(EventWithheld, s, "%s; capacity %d, floor %d", found.text, j.capacity(), j.service.Floor)
+			j.event(timeline.KindEjectionWithheld, s, "%s; capacity %d, floor %d", found.text, j.capacity(), j.service.Floor)
 		}
 		s.withheld = true
 		return
@@ -64,7 +65,7 @@
 	s.returns++
 	s.state, s.since, s.until, s.withheld = wire.StateEjected, now, now.Add(duration), false
 	j.version++
-	j.event(EventEjected, s, "%s, from %d VMs; for %s", found.text, contributors(found.score.byVM), duration)
+	j.event(timeline.KindEjected, s, "%s, from %d VMs; for %s", found.text, contributors(found.score.byVM), duration)
 }
 
 func contributors(parts []float64) int {
@@ -94,7 +95,7 @@
 		}
 		s.avoided[zone] = now.Add(ejectionTime(0))
 		j.version++
-		j.event(EventAvoided, s, "%s, in zone %s only", found.text, zone)
+		j.event(timeline.KindPathAvoided, s, "%s, in zone %s only", found.text, zone)
 	}
 }
 
@@ -137,7 +138,7 @@
 		if list[i].Remove && !removed[i] {
 			s.state, s.since, s.withheld = wire.StateInService, now, true
 			j.version++
-			j.event(EventReturned, s, "capacity would fall below the floor of %d", j.service.Floor)
+			j.event(timeline.KindReturned, s, "capacity would fall below the floor of %d", j.service.Floor)
 		}
 	}
 }
@@ -166,7 +167,7 @@
 	s.returns++
 	s.state, s.since, s.until = wire.StateEjected, now, now.Add(duration)
 	j.version++
-	j.event(EventEjected, s, "%s, ejection %d; for %s", reason, s.returns, duration)
+	j.event(timeline.KindEjected, s, "%s, ejection %d; for %s", reason, s.returns, duration)
 }
 
 func (j *Judge) startSlowly(now time.Time, i int, s *server) {
@@ -176,5 +177,5 @@
 		p.reset(i, 0)
 	}
 	j.version++
-	j.event(EventReturned, s, "%d good answers in probation; slow start for %s", s.trials, slowStart)
+	j.event(timeline.KindReturned, s, "%d good answers in probation; slow start for %s", s.trials, slowStart)
 }
--- a/health/healthbench/bench.go
+++ b/health/healthbench/bench.go
@@ -250,7 +250,7 @@
 	}
 	judge := b.judges[home]
 	if judge == nil {
-		judge = health.NewJudge(vmName(home), b.clock.now, b.clock.now, b.service)
+		judge = health.NewJudge(vmName(home), b.clock.now, b.service)
 		judge.SetMembers(b.Pool.VMs)
 		b.judges[home] = judge
 		b.clock.every(advancePeriod, advancePeriod, func() { b.record(judge.Advance(b.clock.now)) })
--- a/health/healthbench/bench_test.go
+++ b/health/healthbench/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingmount.dev/health"
+	"lacewingmount.dev/timeline"
 )
 
 // Targets of detection. A server that most requests fail at is out of service
@@ -51,7 +52,7 @@
 func ejected(b *Bench) map[string]int {
 	counts := map[string]int{}
 	for _, event := range b.Result.Events {
-		if event.Kind == health.EventEjected {
+		if event.Kind == timeline.KindEjected {
 			counts[event.Server]++
 		}
 	}
--- a/health/healthbench/vm.go
+++ b/health/healthbench/vm.go
@@ -28,7 +28,6 @@
 	zone     string
 	bench    *Bench
 	chooser  chooser
-	homes    []int // VMs to ask, in this order
 	avoid    map[int]time.Time
 	conns    []connection // by server
 	budget   float64      // retries that may be sent
--- a/health/judge.go
+++ b/health/judge.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -23,34 +24,18 @@
 	Policy  Policy
 }
 
-// Event is a change of a server's state with its reason, for the time line.
+// Event is a change of a server's state with its reason.
 type Event struct {
-	Kind   EventKind
+	Kind   timeline.Kind
 	Server string
 	Reason string
 }
 
-// EventKind names a change.
-type EventKind string
-
-// Event kinds.
-const (
-	EventEjected    EventKind = "ejected"
-	EventWithheld   EventKind = "ejection-withheld"
-	EventProbation  EventKind = "probation"
-	EventReturned   EventKind = "returned"
-	EventDraining   EventKind = "draining"
-	EventDrainEnded EventKind = "drain-ended"
-	EventAvoided    EventKind = "path-avoided"
-	EventPathBack   EventKind = "path-back"
-)
-
 // Judge decides which servers of one service are ejected, from the reports of
 // all VMs. It is not safe for concurrent use.
 type Judge struct {
 	home      string
-	started   int64
-	created   time.Time
+	started   time.Time
 	version   uint64
 	service   Service
 	list      uint32
@@ -80,11 +65,11 @@
 	avoided  map[string]time.Time // end of the avoidance, by zone
 }
 
-// NewJudge returns the judge of a service in the named VM. started is the start
-// of the VM's agent; a later start supersedes an earlier one.
-func NewJudge(home string, started, now time.Time, service Service) *Judge {
+// NewJudge returns the judge of a service in the named VM. A judge that is
+// started later supersedes an earlier one of the same VM.
+func NewJudge(home string, now time.Time, service Service) *Judge {
 	judge := &Judge{
-		home: home, started: started.UnixNano(), created: now, vms: 1,
+		home: home, started: now, vms: 1,
 		zoneIndex: map[string]int{}, reporters: map[string]*reporter{},
 	}
 	judge.SetService(now, service)
@@ -143,7 +128,7 @@
 	return events
 }
 
-func (j *Judge) event(kind EventKind, s *server, format string, values ...any) {
+func (j *Judge) event(kind timeline.Kind, s *server, format string, values ...any) {
 	j.events = append(j.events, Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
 }
 
@@ -155,7 +140,7 @@
 		if !now.Before(s.until) {
 			s.state, s.since, s.trials, s.slowness = wire.StateProbation, now, 0, 0
 			j.fleet.reset(i, 0)
-			j.event(EventProbation, s, "ejection %d ended, %d good answers wanted", s.returns, trialsNeeded)
+			j.event(timeline.KindProbation, s, "ejection %d ended, %d good answers wanted", s.returns, trialsNeeded)
 		}
 	case wire.StateSlowStart:
 		if !now.Before(s.until) {
@@ -170,7 +155,7 @@
 		if !now.Before(s.avoided[zone]) {
 			delete(s.avoided, zone)
 			j.zonePool(zone).reset(i, headStart)
-			j.event(EventPathBack, s, "zone %s sends to it again", zone)
+			j.event(timeline.KindPathBack, s, "zone %s sends to it again", zone)
 		}
 	}
 }
--- a/health/path.go
+++ b/health/path.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"lacewingmount.dev/timeline"
 )
 
 // judgePaths runs the tests over the VM's own requests. A server that fails
@@ -28,7 +30,7 @@
 	if !s.avoidUntil.IsZero() && !s.back {
 		s.back = true
 		v.path.reset(i, headStart)
-		v.event(EventPathBack, s, "this VM sends to it again")
+		v.event(timeline.KindPathBack, s, "this VM sends to it again")
 	}
 	s.suspect = v.path.level(i) >= suspectLevel
 	found, ok := v.path.alarmed(i)
@@ -41,9 +43,9 @@
 	duration := ejectionTime(s.returns)
 	s.returns++
 	s.avoidUntil, s.back, v.dirty = now.Add(duration), false, true
-	v.event(EventAvoided, s, "%s, by this VM's own requests; for %s", found.text, duration)
+	v.event(timeline.KindPathAvoided, s, "%s, by this VM's own requests; for %s", found.text, duration)
 }
 
-func (v *View) event(kind EventKind, s *viewed, format string, values ...any) {
+func (v *View) event(kind timeline.Kind, s *viewed, format string, values ...any) {
 	v.events = append(v.events, Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
 }
--- a/health/policy.go
+++ b/health/policy.go
@@ -65,3 +65,12 @@
 func ejectionTime(returns int) time.Duration {
 	return min(ejectionFirst<<min(returns, 10), ejectionMost)
 }
+
+// ServiceOf returns what the judgement of a configured service depends on.
+func ServiceOf(service *config.Service) Service {
+	built := Service{Name: service.Name, Floor: service.Floor, Policy: PolicyFor(service.Concern)}
+	for _, server := range service.Servers {
+		built.Servers = append(built.Servers, Server{Name: server.Name, Zone: server.Zone})
+	}
+	return built
+}
--- a/health/report.go
+++ b/health/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -143,13 +144,13 @@
 
 // inherit takes over an ejection of an earlier home, while the judge is new.
 func (j *Judge) inherit(now time.Time, s *server, report *wire.ServerReport) {
-	if s.state != wire.StateInService || now.Sub(j.created) > VerdictLife {
+	if s.state != wire.StateInService || now.Sub(j.started) > VerdictLife {
 		return
 	}
 	s.state, s.since, s.returns = wire.StateEjected, now, report.Returns
 	s.until = now.Add(min(time.Duration(report.Ejected)*time.Millisecond, ejectionMost))
 	j.version++
-	j.event(EventEjected, s, "as the earlier home had decided")
+	j.event(timeline.KindEjected, s, "as the earlier home had decided")
 }
 
 // forgetReporters drops VMs that stopped reporting.
--- a/health/verdict.go
+++ b/health/verdict.go
@@ -10,7 +10,7 @@
 // Verdict returns what entries need to know now.
 func (j *Judge) Verdict(now time.Time) wire.HealthVerdict {
 	verdict := wire.HealthVerdict{
-		Home: j.home, Started: j.started, Version: j.version, List: j.list,
+		Home: j.home, Started: j.started.UnixNano(), Version: j.version, List: j.list,
 		Stall: j.fleet.stall,
 	}
 	for i, s := range j.servers {
--- a/wire/health.go
+++ b/wire/health.go
@@ -42,7 +42,7 @@
 // servers of the service. It replaces the previous one whole.
 type HealthVerdict struct {
 	Home    string          `json:"home"`
-	Started int64           `json:"started"` // start of the home's agent, nanoseconds since the Unix epoch
+	Started int64           `json:"started"` // start of the judge, nanoseconds since the Unix epoch
 	Version uint64          `json:"version"` // rises with each verdict of one start
 	List    uint32          `json:"list"`
 	Resync  bool            `json:"resync,omitempty"` // the next report must be full
