--- a/agent/health.go
+++ b/agent/health.go
@@ -174,14 +174,14 @@
 	for _, server := range service.Servers {
 		for _, due := range probes {
 			if due == server.Name {
-				go known.probe(ctx, server)
+				go known.probe(ctx, server, service.Probe)
 			}
 		}
 	}
 }
 
-func (k *judged) probe(ctx context.Context, server config.BackendServer) {
-	result := probe.Get(ctx, server.Address)
+func (k *judged) probe(ctx context.Context, server config.BackendServer, path string) {
+	result := probe.Get(ctx, server.Address, path)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.judge.Probed(time.Now(), health.Probe{Server: server.Name, Answered: result.Answered, Draining: result.Draining})
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,7 @@
 }
 
 const (
-	exploreOneIn     = 8   // choices that ignore the zone, so that each VM knows servers of all zones
+	exploreOneIn     = 8   // choices that go to other zones, so that each VM knows their servers
 	spillLoad        = 0.5 // of the slots in use; from there on other zones are considered
 	latencyTolerance = 1.5 // ratio of mean latencies that does not matter
 	sheddingCost     = 8   // a server that shed counts as this much more loaded
@@ -33,9 +33,9 @@
 	if len(candidates) == 0 {
 		return 0, false
 	}
-	near := sameZone(candidates)
-	if len(near) == 0 || random.IntN(exploreOneIn) == 0 {
-		return pickTwo(candidates, random).Index, true
+	near, far := byZone(candidates)
+	if len(near) == 0 || len(far) > 0 && random.IntN(exploreOneIn) == 0 {
+		return pickTwo(far, random).Index, true
 	}
 	best := pickTwo(near, random)
 	if best.load() > spillLoad || best.Shedding || best.Suspect {
@@ -60,14 +60,17 @@
 	return trusted
 }
 
-func sameZone(candidates []Candidate) []Candidate {
-	near := make([]Candidate, 0, len(candidates))
+func byZone(candidates []Candidate) (near, far []Candidate) {
+	near = make([]Candidate, 0, len(candidates))
+	far = make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
 		if c.SameZone {
 			near = append(near, c)
+		} else {
+			far = append(far, c)
 		}
 	}
-	return near
+	return near, far
 }
 
 func pickTwo(candidates []Candidate, random *rand.Rand) Candidate {
--- a/config/document.go
+++ b/config/document.go
@@ -38,6 +38,7 @@
 	Slots       int             `json:"slots" yaml:"slots" validate:"min=1"`             // requests that one server runs at once
 	Connections int             `json:"connections" yaml:"connections" validate:"min=1"` // connections that one server accepts
 	Concern     Concern         `json:"concern" yaml:"concern" validate:"oneof=false-ejection detection-time"`
+	Probe       string          `json:"probe,omitempty" yaml:"probe,omitempty" validate:"omitempty,startswith=/"` // path of probes; "" for the health endpoint
 	Servers     []BackendServer `json:"servers" yaml:"servers" validate:"required,dive"`
 }
 
--- a/config/questionnaire.go
+++ b/config/questionnaire.go
@@ -25,6 +25,7 @@
 	Floor       int              `yaml:"floor" validate:"min=1"`
 	Slots       int              `yaml:"slots" validate:"min=1"`
 	Connections int              `yaml:"connections" validate:"min=1"`
+	Probe       string           `yaml:"probe" validate:"omitempty,startswith=/"` // path of a cheap request that changes nothing
 	Servers     []ServerRange    `yaml:"servers" validate:"required,dive"`
 	Requests    []RequestAnswers `yaml:"requests" validate:"required,dive"`
 }
@@ -57,7 +58,7 @@
 		}
 		section.Services = append(section.Services, Service{
 			Name: service.Name, Floor: service.Floor, Slots: service.Slots,
-			Connections: service.Connections, Concern: answers.Concern, Servers: servers,
+			Connections: service.Connections, Concern: answers.Concern, Probe: service.Probe, Servers: servers,
 		})
 		for _, request := range service.Requests {
 			section.Routes = append(section.Routes, newRoute(service.Name, request))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
@@ -68,6 +69,7 @@
 	if e.settings.Profile {
 		e.admin.EnableProfiling()
 	}
+	e.admin.Router().GET("/servers", func(c echo.Context) error { return c.JSON(http.StatusOK, e.servers.status()) })
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"lacewingmount.dev/health"
 	"lacewingmount.dev/health/probe"
 	"lacewingmount.dev/wire"
 )
@@ -26,9 +29,21 @@
 
 // check asks a server over a fresh connection, after a request got no answer
 // over one that had been used before.
-func (s *pickedService) check(ctx context.Context, server *Server) {
-	result := probe.Get(ctx, server.Config.Address)
+func (s *pickedService) check(ctx context.Context, server *Server, path string) {
+	result := probe.Get(ctx, server.Config.Address, path)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.Checked(server.Config.Name, result.Answered)
 }
+
+// status describes all services, for the admin endpoint.
+func (p *serverPicker) status() []health.ServiceStatus {
+	var list []health.ServiceStatus
+	for _, service := range p.snapshot() {
+		service.mu.Lock()
+		list = append(list, service.view.Status(time.Now()))
+		service.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b health.ServiceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -32,6 +32,7 @@
 	mu       sync.Mutex
 	view     *health.View
 	servers  []*Server
+	probe    string // path of probes
 	attempts map[attemptKey]*health.Attempt
 	random   *rand.Rand
 }
@@ -78,7 +79,7 @@
 	defer s.mu.Unlock()
 	limits := health.Limits{Slots: service.Config.Slots, Connections: service.Config.Connections}
 	s.view.SetService(now, health.ServiceOf(&service.Config), limits, members)
-	s.servers = service.Servers
+	s.servers, s.probe = service.Servers, service.Config.Probe
 }
 
 func (p *serverPicker) service(name string) *pickedService {
@@ -196,6 +197,7 @@
 	now := time.Now()
 	service.mu.Lock()
 	events := service.view.Advance(now)
+	path := service.probe
 	var checks []*Server
 	for _, index := range service.view.Checks() {
 		checks = append(checks, service.servers[index])
@@ -207,7 +209,7 @@
 	service.mu.Unlock()
 	p.record(name, events)
 	for _, server := range checks {
-		go service.check(ctx, server)
+		go service.check(ctx, server, path)
 	}
 	if report != nil {
 		go p.exchange(ctx, service, now, report)
--- /dev/null
+++ b/health/floor_proof_test.go
@@ -0,0 +1,238 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingmount.dev/wire"
+)
+
+// fleet is a handful of views and two homes that disagree, driven by arbitrary
+// steps: evidence, drains, messages in any order, changes of the homes, of the
+// configuration and of time.
+type fleet struct {
+	now      time.Time
+	service  Service
+	judges   []*Judge
+	views    []*View
+	home     []int // of each view, as its agent believes
+	reports  []sentReport
+	verdicts []sentVerdict
+	naive    bool
+}
+
+type sentReport struct {
+	view   int
+	home   int
+	sent   time.Time
+	report *wire.HealthReport
+}
+
+type sentVerdict struct {
+	sentReport
+	verdict wire.HealthVerdict
+}
+
+const (
+	fleetVMs = 3
+	homes    = 2
+)
+
+var fleetLimits = Limits{Slots: 6, Connections: 400}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{now: time.Unix(1_800_000_000, 0), home: make([]int, fleetVMs)}
+	f.service = Service{Name: "shelf", Policy: Policy{FalseEjections: 1000}}
+	f.setServers(rapid.IntRange(2, 8).Draw(t, "servers"))
+	f.service.Floor = rapid.IntRange(1, len(f.service.Servers)).Draw(t, "floor")
+	for i := range homes {
+		f.judges = append(f.judges, NewJudge(fmt.Sprint("home-", i), f.now, f.service))
+	}
+	for i := range fleetVMs {
+		view := NewView(fmt.Sprint("vm-", i), zoneOf(i), f.now)
+		view.SetService(f.now, f.service, fleetLimits, fleetVMs)
+		f.views = append(f.views, view)
+	}
+	return f
+}
+
+func zoneOf(i int) string { return string(rune('a' + i%2)) }
+
+func (f *fleet) setServers(count int) {
+	f.service.Servers = nil
+	for i := range count {
+		f.service.Servers = append(f.service.Servers, Server{Name: fmt.Sprint("shelf-", i), Zone: zoneOf(i)})
+	}
+}
+
+// requests lets a VM's requests fail or succeed at a server.
+func (f *fleet) requests(t *rapid.T) {
+	view := f.views[rapid.IntRange(0, fleetVMs-1).Draw(t, "vm")]
+	outcome := rapid.SampledFrom([]Outcome{{}, {Ending: Failed}, {Ending: Broken}, {Ending: Shed}, {Draining: true}}).Draw(t, "outcome")
+	sick := rapid.IntRange(0, len(view.servers)-1).Draw(t, "server")
+	took := rapid.SampledFrom([]time.Duration{10 * time.Millisecond, time.Second}).Draw(t, "took")
+	for i := range view.servers {
+		view.Record(f.now, i, 10*time.Millisecond, false, Outcome{})
+	}
+	for range rapid.IntRange(1, 20).Draw(t, "count") {
+		view.Record(f.now, sick, took, false, outcome)
+	}
+}
+
+// send makes a report and leaves it under way.
+func (f *fleet) send(t *rapid.T) {
+	i := rapid.IntRange(0, fleetVMs-1).Draw(t, "vm")
+	f.reports = append(f.reports, sentReport{i, f.home[i], f.now, f.views[i].Report(f.now)})
+}
+
+// receive delivers any report under way, perhaps not for the last time.
+func (f *fleet) receive(t *rapid.T) {
+	if len(f.reports) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(f.reports)-1).Draw(t, "report")
+	sent := f.reports[k]
+	verdict := f.judges[sent.home].Observe(f.now, sent.report)
+	f.verdicts = append(f.verdicts, sentVerdict{sent, verdict})
+	if rapid.Bool().Draw(t, "once") {
+		f.reports = append(f.reports[:k], f.reports[k+1:]...)
+	}
+}
+
+// accept delivers any verdict under way, perhaps not for the last time.
+func (f *fleet) accept(t *rapid.T) {
+	if len(f.verdicts) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(f.verdicts)-1).Draw(t, "verdict")
+	sent := f.verdicts[k]
+	f.views[sent.view].Accept(f.now, sent.sent, sent.report.Sequence, sent.verdict)
+	if rapid.Bool().Draw(t, "once") {
+		f.verdicts = append(f.verdicts[:k], f.verdicts[k+1:]...)
+	}
+}
+
+// exchange is send, receive and accept without delay.
+func (f *fleet) exchange(t *rapid.T) {
+	i := rapid.IntRange(0, fleetVMs-1).Draw(t, "vm")
+	report := f.views[i].Report(f.now)
+	f.views[i].Accept(f.now, f.now, report.Sequence, f.judges[f.home[i]].Observe(f.now, report))
+}
+
+func (f *fleet) pass(t *rapid.T) {
+	f.now = f.now.Add(time.Duration(rapid.IntRange(1, 15_000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (f *fleet) advance(*rapid.T) {
+	for _, judge := range f.judges {
+		judge.Advance(f.now)
+	}
+	for _, view := range f.views {
+		view.Advance(f.now)
+	}
+}
+
+func (f *fleet) changeHome(t *rapid.T) {
+	f.home[rapid.IntRange(0, fleetVMs-1).Draw(t, "vm")] = rapid.IntRange(0, homes-1).Draw(t, "home")
+}
+
+// restartHome replaces a judge by one that knows nothing.
+func (f *fleet) restartHome(t *rapid.T) {
+	i := rapid.IntRange(0, homes-1).Draw(t, "home")
+	f.judges[i] = NewJudge(fmt.Sprint("home-", i), f.now, f.service)
+}
+
+// configure changes floor and servers; some processes learn of it, others later.
+func (f *fleet) configure(t *rapid.T) {
+	f.setServers(rapid.IntRange(2, 8).Draw(t, "servers"))
+	f.service.Floor = rapid.IntRange(1, len(f.service.Servers)).Draw(t, "floor")
+	for _, judge := range f.judges {
+		if rapid.Bool().Draw(t, "home learns") {
+			judge.SetService(f.now, f.service)
+		}
+	}
+	for _, view := range f.views {
+		if rapid.Bool().Draw(t, "vm learns") {
+			view.SetService(f.now, f.service, fleetLimits, fleetVMs)
+		}
+	}
+}
+
+// check compares the servers that a VM uses fully with the floor: ejection and
+// avoidance may not be what keeps it below.
+func (f *fleet) check(t *rapid.T) {
+	for _, view := range f.views {
+		used, available := 0, 0
+		for i, standing := range f.standings(view) {
+			s := view.servers[i]
+			if s.leaving() || f.cold(view, s) {
+				continue
+			}
+			available++
+			if standing.Usable {
+				used++
+			}
+		}
+		if used < min(view.service.Floor, available) {
+			t.Fatalf("%s uses %d of %d servers, floor %d", view.vm, used, available, view.service.Floor)
+		}
+	}
+	for _, judge := range f.judges {
+		judge.Advance(f.now)
+		available := 0
+		for _, s := range judge.servers {
+			if !s.drain.active && s.state != wire.StateSlowStart {
+				available++
+			}
+		}
+		if capacity := judge.capacity(); capacity < min(judge.service.Floor, available) {
+			t.Fatalf("%s leaves %d of %d servers, floor %d", judge.home, capacity, available, judge.service.Floor)
+		}
+	}
+}
+
+func (f *fleet) cold(view *View, s *viewed) bool {
+	return f.now.Before(s.coldUntil) || f.now.Before(view.expires) && s.told.State == wire.StateSlowStart
+}
+
+// standings are the view's, or those of an entry that trusts every verdict.
+func (f *fleet) standings(view *View) []Standing {
+	standings := view.Standings(f.now)
+	if !f.naive {
+		return standings
+	}
+	for i, s := range view.servers {
+		standings[i].Usable = !view.capacityOf(f.now, s, f.now.Before(view.expires)).Remove && !s.leaving()
+	}
+	return standings
+}
+
+func (f *fleet) steps() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"requests": f.requests, "requests again": f.requests, "send": f.send, "receive": f.receive, "accept": f.accept,
+		"exchange": f.exchange, "exchange again": f.exchange, "advance": f.advance, "pass": f.pass,
+		"change home": f.changeHome, "restart home": f.restartHome, "configure": f.configure, "": f.check,
+	}
+}
+
+// TestProofFloorHolds lets two homes with different views, drains, changes of
+// the configuration and messages in any order act on three VMs.
+func TestProofFloorHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { t.Repeat(newFleet(t).steps()) })
+}
+
+// TestControlFloorTrustingEntries shows that the same steps take an entry that
+// trusts its verdicts, without checking the floor itself, below the floor.
+func TestControlFloorTrustingEntries(t *testing.T) {
+	trusting := func(t *rapid.T) {
+		f := newFleet(t)
+		f.naive = true
+		t.Repeat(f.steps())
+	}
+	if !violated(t, trusting) {
+		t.Fatal("the check does not notice an entry that goes below the floor")
+	}
+}
--- a/health/healthbench/backend.go
+++ b/health/healthbench/backend.go
@@ -17,6 +17,7 @@
 	Silent int               // connections opened before this era are silent
 	Cut    func(vm *VM) bool // one-way: requests of these VMs are lost
 	Sent   int               // requests that VMs sent to it
+	Last   time.Time         // when a VM last sent one
 
 	index   int
 	zone    string
@@ -27,8 +28,6 @@
 	clock   *clock
 	random  *rand.Rand
 	pool    *Pool
-
-	lastWork time.Time // when a request last arrived
 }
 
 // job is a request at a server.
@@ -46,7 +45,6 @@
 
 func (b *Backend) accept(done func(reply)) *job {
 	work := &job{done: done}
-	b.lastWork = b.clock.now
 	switch {
 	case b.Shed || len(b.waiting) >= queueLimit:
 		b.finish(work, reply{shed: true})
--- a/health/healthbench/bench.go
+++ b/health/healthbench/bench.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lacewingmount.dev/health"
@@ -19,6 +20,15 @@
 	ModeConsecutive Mode = "consecutive" // five failures in a row in one VM
 )
 
+// ProbeKind says what a probe of the home reaches.
+type ProbeKind int
+
+// Kinds of probes.
+const (
+	ProbeHealth  ProbeKind = iota // the health endpoint, which shows nothing in time
+	ProbeRequest                  // a path that is answered like any other request
+)
+
 // Messages are the faults of messages between VMs.
 type Messages struct {
 	Lost, Doubled, Late float64 // shares
@@ -30,6 +40,7 @@
 	Policy   health.Policy
 	Mode     Mode
 	Messages Messages
+	Probes   ProbeKind
 	Backends []*Backend
 	VMs      []*VM
 	Result   Result
@@ -272,11 +283,19 @@
 		}
 		for _, name := range judge.Probes(b.clock.now) {
 			b.Result.Probes++
-			b.clock.after(probeTime, func() { judge.Probed(b.clock.now, health.Probe{Server: name, Answered: true}) })
+			server := b.Backends[b.indexOf(name)]
+			b.clock.after(probeTime, func() {
+				draining := b.Probes == ProbeRequest && server.Drain
+				judge.Probed(b.clock.now, health.Probe{Server: name, Answered: true, Draining: draining})
+			})
 		}
 	}
 }
 
+func (b *Bench) indexOf(name string) int {
+	return slices.IndexFunc(b.service.Servers, func(s health.Server) bool { return s.Name == name })
+}
+
 // Run continues for the given time.
 func (b *Bench) Run(d time.Duration) { b.clock.until(b.clock.now.Add(d)) }
 
--- a/health/healthbench/vm.go
+++ b/health/healthbench/vm.go
@@ -64,6 +64,7 @@
 	clock, server := vm.bench.clock, vm.bench.Backends[index]
 	vm.bench.Result.Sent++
 	server.Sent++
+	server.Last = clock.now
 	attempt := vm.chooser.begin(vm, index)
 	conn := vm.conns[index]
 	vm.conns[index] = connection{}
--- a/health/path.go
+++ b/health/path.go
@@ -34,7 +34,7 @@
 	}
 	s.suspect = v.path.level(i) >= suspectLevel
 	found, ok := v.path.alarmed(i)
-	if !ok {
+	if !ok || s.told.State.Removed() && now.Before(v.expires) {
 		return
 	}
 	if now.Sub(s.avoidUntil) > returnsForgotten {
--- a/health/pool.go
+++ b/health/pool.go
@@ -78,16 +78,21 @@
 	}
 }
 
-// commonCause reports whether most servers are suspect at once. Then the cause
-// is not theirs, and what was learned before no longer describes the pool.
+// commonCause reports whether most servers are suspect in one test at once. Then
+// the cause is not theirs, and what was learned before no longer describes the pool.
 func (p *pool) commonCause() bool {
-	suspects := 0
-	for i := range p.servers {
-		if p.level(i) >= suspectLevel {
-			suspects++
+	for t := range tests {
+		suspects := 0
+		for i := range p.scores {
+			if p.scores[i][t].sum >= suspectLevel*p.threshold {
+				suspects++
+			}
+		}
+		if 2*suspects > len(p.servers) && suspects > 1 {
+			return true
 		}
 	}
-	return 2*suspects > len(p.servers) && suspects > 1
+	return false
 }
 
 // rate returns the observations a second.
@@ -150,7 +155,7 @@
 	doubtful.sum = min(doubtful.sum, max(doubtLimit*p.threshold-s.doubt, 0))
 	s.doubt += doubtful.sum
 	sure.add(doubtful)
-	s.add(from, sure.sum, sure.n)
+	s.add(from, sure.sum, sure.n, vmLimit*p.threshold)
 	s.limit(sumLimit * p.threshold)
 	p.totals[t][server].add(sure)
 }
--- a/health/probe/probe.go
+++ b/health/probe/probe.go
@@ -14,8 +14,8 @@
 	// DrainHeader says, on any answer of a backend server, that it leaves and
 	// wants no new work.
 	DrainHeader = "X-Draining"
-	// Path is the health endpoint of backend servers.
-	Path = "/healthz"
+	// HealthPath is the health endpoint of backend servers.
+	HealthPath = "/healthz"
 
 	timeout      = time.Second
 	dialTimeout  = 500 * time.Millisecond
@@ -38,9 +38,13 @@
 	},
 }
 
-// Get probes the server at address.
-func Get(ctx context.Context, address string) Result {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+// Get probes the server at address. path is the service's own probe, or "" for
+// the health endpoint.
+func Get(ctx context.Context, address, path string) Result {
+	if path == "" {
+		path = HealthPath
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return Result{}
 	}
--- a/health/score.go
+++ b/health/score.go
@@ -7,6 +7,7 @@
 
 const (
 	sumLimit      = 4 // times the threshold, so that a recovery is noticed
+	vmLimit       = 2 // times the threshold that one VM contributes
 	scoreHalfLife = 10 * time.Minute
 	fadePeriod    = time.Second
 	doubtLimit    = 0.5 // of the threshold that requests on silent connections may fill
@@ -74,20 +75,22 @@
 	s.before = append(s.before[:0], totals...)
 }
 
-// add takes in n observations with the given sum of ratios.
-func (s *score) add(from part, sum, n float64) {
-	s.sum += sum
+// add takes in n observations with the given sum of ratios. No VM contributes
+// more than its limit.
+func (s *score) add(from part, sum, n, limit float64) {
+	ofVM := partOf(&s.byVM, from.vm)
+	sum = min(sum, max(limit-*ofVM, 0))
+	*ofVM += sum
+	*partOf(&s.byZone, from.zone) += sum
+	s.sum = max(s.sum+sum, 0)
 	s.n += n
-	addPart(&s.byVM, from.vm, sum)
-	addPart(&s.byZone, from.zone, sum)
-	s.sum = max(s.sum, 0)
 }
 
-func addPart(parts *[]float64, index int, sum float64) {
+func partOf(parts *[]float64, index int) *float64 {
 	for len(*parts) <= index {
 		*parts = append(*parts, 0)
 	}
-	(*parts)[index] += sum
+	return &(*parts)[index]
 }
 
 func (s *score) scale(by float64) {
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -12,6 +12,7 @@
 //	await [!] URL [RE]   poll until the answer is 200 and its body matches RE
 //	request METHOD URL [HEADER:VALUE ...] [-body TEXT]
 //	                     print status, headers and body to stdout
+//	get URL              print the body of an answer with status 200 to stdout
 //	put URL BODY         PUT JSON, for the control interfaces of stand-ins
 //	grant VAR ACCOUNT    grant a client key and keep it in $VAR
 //	ctl ARGS             run lacewingctl with the script's platform and credential
--- a/scenario/http_test.go
+++ b/scenario/http_test.go
@@ -51,6 +51,18 @@
 	return answer.StatusCode, string(content), err
 }
 
+func cmdGet(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: get URL")
+	}
+	status, body, err := fetch(args[0])
+	ts.Check(err)
+	if status != http.StatusOK {
+		ts.Fatalf("%s answered %d", args[0], status)
+	}
+	fmt.Fprint(ts.Stdout(), body)
+}
+
 func cmdPut(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 2 {
 		ts.Fatalf("usage: put URL BODY")
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -48,6 +48,7 @@
 			"await":      cmdAwait,
 			"request":    cmdRequest,
 			"put":        cmdPut,
+			"get":        cmdGet,
 			"grant":      cmdGrant,
 			"ctl":        cmdCtl,
 			"expand":     cmdExpand,
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -36,6 +36,7 @@
 	Truncate   bool          `json:"truncate"`    // breaks off half-way through the body
 	Drain      bool          `json:"drain"`       // says in its health that it leaves
 	Unhealthy  bool          `json:"unhealthy"`   // says in its health that it is down
+	LoadFaults
 }
 
 // Request headers and query parameters that shape an answer.
@@ -43,6 +44,7 @@
 	sizeParameter  = "size" // bytes of the answer's body
 	requestID      = "X-Request-Id"
 	notRunHeader   = "X-Not-Run"
+	drainHeader    = "X-Draining"
 	digestHeader   = "Content-Digest"
 	markHeader     = "X-Standin-Mark" // echoed, so that a caller knows its own answer
 	idempotencyKey = "Idempotency-Key"
@@ -54,6 +56,9 @@
 	name   string
 	mu     sync.Mutex
 	faults BackendFaults
+	before BackendFaults // the faults that the health endpoint still shows
+	set    time.Time
+	slots  slots
 	served int
 	runs   map[string]int // runs by Idempotency-Key
 	keys   int
@@ -68,7 +73,10 @@
 func (b *Backend) SetFaults(faults BackendFaults) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.faults = faults
+	b.before, b.faults, b.set = b.faults, faults, time.Now()
+	if faults.Slots != b.before.Slots {
+		b.slots = newSlots(faults.Slots)
+	}
 }
 
 // Report counts what a backend server saw.
@@ -96,7 +104,10 @@
 		b.serveHealth(w)
 		return
 	}
-	faults, number := b.begin(r)
+	faults, slots, number := b.begin(r)
+	if faults.DrainAnswers {
+		w.Header().Set(drainHeader, "true")
+	}
 	if faults.Shed {
 		w.Header().Set(notRunHeader, "shed")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -111,7 +122,8 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(faults.Delay)
+	slots.occupy(r.Context(), faults.Work)
+	sleep(r.Context(), faults.Delay)
 	if failing(faults.ErrorShare, number) {
 		http.Error(w, "stand-in error", http.StatusInternalServerError)
 		return
@@ -122,23 +134,26 @@
 func (b *Backend) serveHealth(w http.ResponseWriter) {
 	b.mu.Lock()
 	faults := b.faults
+	if time.Since(b.set) < faults.HealthLag {
+		faults = b.before
+	}
 	b.mu.Unlock()
 	if faults.Drain {
-		w.Header().Set("X-Draining", "true")
+		w.Header().Set(drainHeader, "true")
 	}
 	if faults.Unhealthy {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-func (b *Backend) begin(r *http.Request) (BackendFaults, int) {
+func (b *Backend) begin(r *http.Request) (BackendFaults, slots, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.served++
 	if r.Header.Get(keys.Header) != "" {
 		b.keys++
 	}
-	return b.faults, b.served
+	return b.faults.inForce(time.Since(b.set)), b.slots, b.served
 }
 
 func (b *Backend) run(r *http.Request) {
@@ -181,7 +196,7 @@
 }
 
 // BackendAdmin returns the control interface of several backend servers:
-// PUT /faults/NAME and GET /report.
+// PUT /faults/NAME, GET /report and GET /report/NAME.
 func BackendAdmin(backends map[string]*Backend) http.Handler {
 	router := echo.New()
 	router.PUT("/faults/:name", func(c echo.Context) error {
@@ -196,6 +211,13 @@
 		backend.SetFaults(faults)
 		return c.NoContent(http.StatusNoContent)
 	})
+	router.GET("/report/:name", func(c echo.Context) error {
+		backend, ok := backends[c.Param("name")]
+		if !ok {
+			return echo.ErrNotFound
+		}
+		return c.JSON(http.StatusOK, backend.Report())
+	})
 	router.GET("/report", func(c echo.Context) error {
 		reports := make([]Report, 0, len(backends))
 		for _, backend := range backends {
