--- a/agent/peers.go
+++ b/agent/peers.go
@@ -169,3 +169,15 @@
 	defer p.mu.Unlock()
 	p.view.Missed(p.now(), probe)
 }
+
+// member returns a member by name, also one that is leaving.
+func (p *peers) member(name string) (membership.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, member := range p.view.Members(p.now()) {
+		if member.Name == name {
+			return p.routed(member), true
+		}
+	}
+	return membership.Member{}, false
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -89,6 +91,7 @@
 // launch starts an attempt in the background.
 func (d *dispatch) launch(server *Server, reuse bool) {
 	a := newAttempt(d.work, server, reuse)
+	a.lease.gate = d.x.permit.spend
 	request := outbound(d.x, a, d.body)
 	d.started++
 	d.running[a] = true
@@ -162,6 +165,9 @@
 
 // next returns the server for another attempt after a failed one, or nil.
 func (d *dispatch) next(a *attempt) (server *Server, reuse bool) {
+	if errors.Is(a.err, errNoToken) {
+		return nil, false
+	}
 	if d.started >= maxAttempts || d.work.Err() != nil || d.callerGone() || !d.repeatable(a) {
 		return nil, false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,9 +53,10 @@
 		stages: []Stage{
 			routeStage{},
 			identifyStage{},
-			admitStage{admitter: NewStaticSplit(), now: time.Now},
+			admitStage{admitter: NewTokenCache(agent)},
 			claimStage{claimer: claimer},
-			newForwardStage(servers, claimer),
+			newQueueStage(claimer),
+			newForwardStage(shedPicker{servers}, claimer),
 		},
 		served:   metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration: metrics.GetOrCreateHistogram("lacewing_request_seconds"),
@@ -117,6 +118,7 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
+	defer func() { x.permit.release(); x.place.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
