Leave servers that shed alone, and measure failures of the evidence exchange

Servers that shed are left alone for 1 s, doubling to 30 s, and the home tells all VMs of those that refuse most requests; they are never ejected for it.

Tests: lost, doubled and late evidence; a home that dies; two homes; no home; two failing servers at once; a zone cut off one way; one VM's lost path; flapping; overload.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,22 +13,22 @@
 	Weight   float64 // share of a full server's requests, above 0 and at most 1
 	Latency  float64 // mean of its answers, seconds; 0 if not known
 	Suspect  bool    // may be failing; protected requests go elsewhere if they can
-	Shedding bool    // refused a request a moment ago
+	Shedding bool    // refuses requests at present
 }
 
 const (
 	exploreOneIn     = 8   // choices that go to other zones, so that each VM knows their servers
 	spillLoad        = 0.5 // of the slots in use; from there on other zones are considered
 	latencyTolerance = 1.5 // ratio of mean latencies that does not matter
-	sheddingCost     = 8   // a server that shed counts as this much more loaded
 )
 
 // Pick chooses the better of two random candidates, first among those of the
 // VM's own zone and, if that one is busy, among all. It returns the candidate's
 // Index. ok is false if there is no candidate.
 func Pick(candidates []Candidate, protected bool, random *rand.Rand) (index int, ok bool) {
+	candidates = preferring(candidates, func(c Candidate) bool { return !c.Shedding })
 	if protected {
-		candidates = withoutSuspects(candidates)
+		candidates = preferring(candidates, func(c Candidate) bool { return !c.Suspect })
 	}
 	if len(candidates) == 0 {
 		return 0, false
@@ -38,26 +38,26 @@
 		return pickTwo(far, random).Index, true
 	}
 	best := pickTwo(near, random)
-	if best.load() > spillLoad || best.Shedding || best.Suspect {
+	if best.load() > spillLoad || best.Suspect {
 		best = better(best, pickTwo(candidates, random))
 	}
 	return best.Index, true
 }
 
-// withoutSuspects leaves out suspects and servers that shed, unless none with a free slot is left.
-func withoutSuspects(candidates []Candidate) []Candidate {
-	trusted := make([]Candidate, 0, len(candidates))
+// preferring returns the good candidates, or all if none of the good has a free slot.
+func preferring(candidates []Candidate, good func(Candidate) bool) []Candidate {
+	preferred := make([]Candidate, 0, len(candidates))
 	free := false
 	for _, c := range candidates {
-		if !c.Suspect {
-			trusted = append(trusted, c)
+		if good(c) {
+			preferred = append(preferred, c)
 			free = free || c.load() <= 1
 		}
 	}
 	if !free {
 		return candidates
 	}
-	return trusted
+	return preferred
 }
 
 func byZone(candidates []Candidate) (near, far []Candidate) {
@@ -109,9 +109,6 @@
 	if c.Latency > 0 && other.Latency > 0 {
 		cost *= max(1, c.Latency/other.Latency/latencyTolerance)
 	}
-	if c.Shedding {
-		cost *= sheddingCost
-	}
 	return cost
 }
 
--- a/health/attempt.go
+++ b/health/attempt.go
@@ -51,7 +51,8 @@
 	returns    int       // avoidances in a row
 	suspect    bool      // by the VM's own requests
 	nextTrial  time.Time // in probation
-	shedAt     time.Time
+	shedUntil  time.Time // the server refused requests; others are preferred until then
+	shedInRow  int
 	latency    float64 // mean of its answers, seconds
 	doubts     uint32  // requests without an answer on connections that had been idle
 	checking   bool    // a request on a fresh connection is under way
@@ -99,6 +100,7 @@
 	}
 	switch ending {
 	case Answered:
+		s.shedInRow = 0
 		s.counts.Answered[Bucket(took)]++
 		v.urgent = v.urgent || Bucket(took) >= v.stall
 	case Cancelled:
@@ -109,7 +111,8 @@
 		}
 	case Shed:
 		s.counts.Shed++
-		s.shedAt = now
+		s.shedUntil = now.Add(min(shedFirst<<min(s.shedInRow, 10), shedMost))
+		s.shedInRow++
 	case Failed:
 		v.urgent = true
 		s.counts.Failed++
--- a/health/healthbench/bench.go
+++ b/health/healthbench/bench.go
@@ -112,6 +112,7 @@
 func (b *Bench) addVM(i int) {
 	vm := &VM{
 		index: i, zone: b.Pool.Zones[i%len(b.Pool.Zones)], bench: b, avoid: map[int]time.Time{},
+		budget: budgetInitial, refilled: b.clock.now,
 		conns: make([]connection, b.Pool.Servers), attempts: make([]int, b.Pool.Servers),
 	}
 	b.VMs = append(b.VMs, vm)
@@ -175,18 +176,18 @@
 // tick lets a VM judge its paths and report.
 func (b *Bench) tick(vm *VM, view *health.View) {
 	b.record(view.Advance(b.clock.now))
-	b.check(view)
+	b.check(vm, view)
 	if b.Mode == ModeShared && view.Due(b.clock.now) {
 		b.exchange(vm, view)
 	}
 }
 
 // check sends the requests on fresh connections that the view asks for.
-func (b *Bench) check(view *health.View) {
+func (b *Bench) check(vm *VM, view *health.View) {
 	for _, index := range view.Checks() {
 		server := b.Backends[index]
 		b.Result.Probes++
-		if server.Hang && !server.Lying {
+		if server.Hang && !server.Lying || server.Cut != nil && server.Cut(vm) {
 			b.clock.after(callTimeout, func() { view.Checked(b.service.Servers[index].Name, false) })
 			continue
 		}
--- a/health/healthbench/bench_test.go
+++ b/health/healthbench/bench_test.go
@@ -16,7 +16,7 @@
 	detectionLimit = 5 * time.Minute
 	outageRequests = 40  // sent to a server before it is out
 	slowRequests   = 80  // likewise, for answers three times as slow
-	errorsRequests = 250 // likewise, for errors on a tenth of the requests
+	errorsRequests = 150 // likewise, for errors on a tenth of the requests
 )
 
 func poolNamed(name string) Pool {
--- /dev/null
+++ b/health/healthbench/failures_test.go
@@ -0,0 +1,183 @@
+package healthbench
+
+import (
+	"testing"
+	"time"
+)
+
+// TestEvidenceFaults loses, doubles and delays reports and verdicts.
+func TestEvidenceFaults(t *testing.T) {
+	for _, name := range []string{"bookshelf", "orders"} {
+		for _, fault := range []int{1, 3} {
+			t.Run(name+"/"+Faults[fault].Name, func(t *testing.T) {
+				t.Parallel()
+				b := newBench(name, 21)
+				b.Messages = Messages{Lost: 0.1, Doubled: 0.1, Late: 0.1}
+				b.Run(settle)
+				Faults[fault].Apply(b.Backends[3])
+				if took, ok := awaitOut(b, 3); !ok {
+					t.Errorf("still in service after %s", took)
+				}
+				expectEjected(t, b, 3)
+			})
+		}
+	}
+}
+
+// TestHomeDies lets the home die after it ejected a server. The next home
+// learns of the ejection from the VMs, before it has evidence of its own.
+func TestHomeDies(t *testing.T) {
+	b := newBench("bookshelf", 22)
+	b.Backends[3].Errors = 1
+	if took, ok := awaitOut(b, 3); !ok {
+		t.Fatalf("still in service after %s", took)
+	}
+	b.dead[0] = true
+	b.Run(3 * time.Second)
+	if b.judges[1] == nil || b.Usable(3) > 0.1 {
+		t.Errorf("%.0f%% of the VMs use the failing server again", 100*b.Usable(3))
+	}
+	b.Run(time.Minute)
+	expectEjected(t, b, 3)
+}
+
+// TestTwoHomes lets half of the VMs believe in one home and half in another.
+func TestTwoHomes(t *testing.T) {
+	b := newBench("bookshelf", 23)
+	b.homeOf = func(vm *VM) []int { return []int{vm.index % 2, 2} }
+	b.Run(settle)
+	b.Backends[3].Hang = true
+	if took, ok := awaitOut(b, 3); !ok {
+		t.Errorf("still in service after %s", took)
+	}
+	expectEjected(t, b, 3)
+}
+
+// TestHomeUnreachable takes every home away: the verdicts expire and the server
+// is used again, since nobody renews its ejection.
+func TestHomeUnreachable(t *testing.T) {
+	b := newBench("bookshelf", 24)
+	b.Backends[3].Errors = 1
+	if took, ok := awaitOut(b, 3); !ok {
+		t.Fatalf("still in service after %s", took)
+	}
+	b.dead[0], b.dead[1] = true, true
+	b.Backends[3].Errors = 0
+	b.Run(10 * time.Second)
+	if b.Usable(3) < 0.9 {
+		t.Errorf("only %.0f%% of the VMs use the server although its verdict expired", 100*b.Usable(3))
+	}
+}
+
+// TestTwoAtOnce lets two servers fail in different ways.
+func TestTwoAtOnce(t *testing.T) {
+	for _, name := range []string{"bookshelf", "catalogue", "evidence"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(name, 25)
+			b.Backends[1].Slow = 30
+			b.Backends[2].Errors = 1
+			for _, server := range []int{1, 2} {
+				if took, ok := awaitOut(b, server); !ok {
+					t.Errorf("server %d still in service after %s", server, took)
+				}
+			}
+			expectEjected(t, b, 1, 2)
+		})
+	}
+}
+
+// TestZoneCutOff loses the requests of one zone's VMs to the servers of another.
+func TestZoneCutOff(t *testing.T) {
+	b := newBench("bookshelf", 26)
+	for _, server := range b.Backends {
+		if server.zone == b.Pool.Zones[0] {
+			server.Cut = func(vm *VM) bool { return vm.zone == b.Pool.Zones[1] }
+		}
+	}
+	failed, requests := b.Result.Failed, b.Result.Requests
+	b.Run(time.Minute)
+	expectEjected(t, b)
+	if share := float64(b.Result.Failed-failed) / float64(b.Result.Requests-requests); share > 0.01 {
+		t.Errorf("%.1f%% of the callers' requests failed", 100*share)
+	}
+}
+
+// TestOneVMAvoidsItsPath loses the requests of one VM to one server.
+func TestOneVMAvoidsItsPath(t *testing.T) {
+	const atMost = 0.05 // of the VM's requests may still go there
+	b := newBench("catalogue", 27)
+	lost := 0
+	b.Backends[3].Cut = func(vm *VM) bool {
+		if vm.index == 3 {
+			lost++
+		}
+		return vm.index == 3
+	}
+	b.Run(20 * time.Second)
+	lost = 0
+	b.Run(time.Minute)
+	if requests := b.Pool.Rate * 60 / float64(b.Pool.VMs); float64(lost) > atMost*requests {
+		t.Errorf("the VM sent %d of about %.0f requests over the lost path", lost, requests)
+	}
+	if b.Usable(3) < 0.9 {
+		t.Errorf("only %.0f%% of the VMs use the server", 100*b.Usable(3))
+	}
+	expectEjected(t, b)
+}
+
+// TestFlappingBacksOff expects longer ejections of a server that keeps failing.
+func TestFlappingBacksOff(t *testing.T) {
+	b := newBench("bookshelf", 28)
+	flap(b.Backends[3])
+	b.Run(5 * time.Minute)
+	using := 0
+	for range 120 {
+		b.Run(time.Second)
+		if b.Usable(3) > 0.5 {
+			using++
+		}
+	}
+	if using > 24 {
+		t.Errorf("in service for %d of 120 s although it flaps", using)
+	}
+}
+
+// TestOverload sheds at half of the pool. The retry budget bounds what servers
+// get, and few callers are refused.
+func TestOverload(t *testing.T) {
+	for _, pool := range Pools {
+		t.Run(pool.Name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(pool.Name, 29)
+			for _, server := range b.Backends {
+				server.Shed = server.index%2 == 0
+			}
+			before := b.Result
+			b.Run(settle)
+			requests := float64(b.Result.Requests - before.Requests)
+			sent := float64(b.Result.Sent-before.Sent) / requests
+			refused := float64(b.Result.Failed-before.Failed) / requests
+			bound := 1 + budgetShare + budgetRefill*float64(pool.VMs)/pool.Rate
+			t.Logf("%.2f requests at servers for each caller's (bound %.2f), %.2f%% failed", sent, min(bound, maxAttempts), 100*refused)
+			if sent > min(bound, maxAttempts) {
+				t.Errorf("%.2f requests at servers for each caller's, the budget allows %.2f", sent, bound)
+			}
+			expectEjected(t, b)
+		})
+	}
+}
+
+// expectEjected fails if a server besides those given was ejected.
+func expectEjected(t *testing.T, b *Bench, servers ...int) {
+	t.Helper()
+	allowed := map[string]bool{}
+	for _, i := range servers {
+		allowed[b.service.Servers[i].Name] = true
+	}
+	for server, times := range ejected(b) {
+		if !allowed[server] {
+			t.Errorf("%s was well and ejected %d times\n%s", server, times, reasons(b))
+		}
+	}
+}
--- /dev/null
+++ b/health/healthbench/measure_test.go
@@ -0,0 +1,112 @@
+package healthbench
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"lacewingmount.dev/health"
+)
+
+// The tables of docs/MEASUREMENTS.md come from
+//
+//	go test ./health/healthbench -run TestMeasure -v -measure
+var measure = flag.Bool("measure", false, "print the tables of docs/MEASUREMENTS.md")
+
+const (
+	falseTime     = 30 * time.Minute
+	measuredSeeds = 6
+	measuredAtOne = 4 // runs side by side
+)
+
+// seeds runs a measurement for each seed.
+func seeds[T any](run func(seed uint64) T) []T {
+	results := make([]T, measuredSeeds)
+	var running sync.WaitGroup
+	places := make(chan struct{}, measuredAtOne)
+	for seed := range results {
+		places <- struct{}{}
+		running.Go(func() {
+			results[seed] = run(uint64(seed) + 1)
+			<-places
+		})
+	}
+	running.Wait()
+	return results
+}
+
+func TestMeasureDetection(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables only, with -measure")
+	}
+	for _, pool := range Pools {
+		for _, fault := range Faults {
+			for _, mode := range []Mode{ModeShared, ModeAlone, ModeConsecutive} {
+				printDetection(pool, fault, mode, seeds(func(seed uint64) Detection {
+					return Detect(pool, health.PolicyFor(pool.Concern), mode, fault, seed)
+				}))
+			}
+		}
+	}
+}
+
+func printDetection(pool Pool, fault Fault, mode Mode, runs []Detection) {
+	var took []time.Duration
+	var sent []int
+	failed, requests, others, worst := 0, 0, 0, 0.0
+	for _, run := range runs {
+		if run.Found {
+			took, sent = append(took, run.Took), append(sent, run.Sent)
+		}
+		failed, requests, others = failed+run.Failed, requests+run.Requests, others+run.False
+		worst = max(worst, run.Worst)
+	}
+	slices.Sort(took)
+	slices.Sort(sent)
+	detection := "never"
+	if len(took) > 0 {
+		last := len(took) - 1
+		detection = fmt.Sprintf("%.1f / %.1f s | %d / %d", took[last/2].Seconds(), took[last].Seconds(), sent[last/2], sent[last])
+	}
+	fmt.Printf("| %s | %s | %s | %d/%d | %s | %.2f%% | %.1f%% | %d |\n", pool.Name, fault.Name, mode, len(took), len(runs), detection,
+		100*float64(failed)/float64(requests), 100*worst, others)
+}
+
+// TestMeasureTradeOff prints what a wanted rate of false ejections costs in detection.
+func TestMeasureTradeOff(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables only, with -measure")
+	}
+	for _, name := range []string{"bookshelf", "ledger", "inkwell"} {
+		for _, wanted := range []float64{100, 10, 1, 0.1, 0.01, 0.001} {
+			policy := health.Policy{FalseEjections: wanted}
+			measured := 0.0
+			for _, rate := range seeds(func(seed uint64) float64 {
+				return FalseEjections(poolNamed(name), policy, ModeShared, seed, falseTime)
+			}) {
+				measured += rate / measuredSeeds
+			}
+			line := fmt.Sprintf("| %s | %g | %.2f |", name, wanted, measured)
+			for _, fault := range []int{0, 2, 3} {
+				var took []time.Duration
+				for _, run := range seeds(func(seed uint64) Detection {
+					return Detect(poolNamed(name), policy, ModeShared, Faults[fault], seed)
+				}) {
+					if run.Found {
+						took = append(took, run.Took)
+					}
+				}
+				slices.Sort(took)
+				if len(took) == 0 {
+					line += " never |"
+					continue
+				}
+				line += fmt.Sprintf(" %.1f / %.1f s (%d/%d) |", took[(len(took)-1)/2].Seconds(), took[len(took)-1].Seconds(), len(took), measuredSeeds)
+			}
+			fmt.Println(line)
+		}
+	}
+}
--- a/health/healthbench/vm.go
+++ b/health/healthbench/vm.go
@@ -10,8 +10,12 @@
 	dialTimeout     = 500 * time.Millisecond
 	maxAttempts     = 3
 	idleConnTimeout = 30 * time.Second
-	retryShare      = 0.1 // of the requests that may be tried again
-	retryReserve    = 3.0
+
+	// The retry budget of an entry.
+	budgetShare   = 0.2  // retries earned by one request
+	budgetRefill  = 1.0  // retries a second
+	budgetMost    = 20.0 // retries that can be saved up
+	budgetInitial = 5.0
 )
 
 // chooser is what an entry decides with: a health.View or a baseline.
@@ -31,7 +35,8 @@
 	avoid    map[int]time.Time
 	conns    []connection // by server
 	budget   float64      // retries that may be sent
-	attempts []int        // by server, of baselines
+	refilled time.Time
+	attempts []int // by server, of baselines
 }
 
 // connection is the state of the VM's idle connection to a server.
@@ -131,5 +136,9 @@
 	vm.serve(r)
 }
 
-// earn adds the budget that a new request brings.
-func (vm *VM) earn() { vm.budget = min(vm.budget+retryShare, retryReserve) }
+// earn adds the budget that a new request and the time since the last one bring.
+func (vm *VM) earn() {
+	now := vm.bench.clock.now
+	vm.budget = min(vm.budget+budgetShare+budgetRefill*now.Sub(vm.refilled).Seconds(), budgetMost)
+	vm.refilled = now
+}
--- a/health/judge.go
+++ b/health/judge.go
@@ -62,6 +62,7 @@
 	seen     time.Time
 	probed   time.Time
 	drain    drain
+	shedding shedding
 	avoided  map[string]time.Time // end of the avoidance, by zone
 }
 
--- a/health/report.go
+++ b/health/report.go
@@ -125,6 +125,7 @@
 	if added.answered() > 0 {
 		s.seen = now
 	}
+	s.shedding.add(now, added)
 	if added.observations() == 0 {
 		return
 	}
--- a/health/score.go
+++ b/health/score.go
@@ -45,7 +45,7 @@
 
 // deviation returns the mean square of the ratios' distance from center.
 func (t total) deviation(center float64) float64 {
-	return t.squares/t.n - 2*center*t.sum/t.n + center*center
+	return max(t.squares/t.n-2*center*t.sum/t.n+center*center, 0) // rounding may leave less than 0
 }
 
 // score is one sequential test of one server. An excursion begins when the sum
--- a/health/standing.go
+++ b/health/standing.go
@@ -11,7 +11,8 @@
 
 const (
 	standingPeriod = 100 * time.Millisecond
-	shedBackoff    = time.Second
+	shedFirst      = time.Second // a server that refused a request is left alone, longer each time in a row
+	shedMost       = 30 * time.Second
 
 	// Severities order the removals that the floor may have to undo.
 	severityEjected = 1000.0
@@ -112,7 +113,7 @@
 		candidates = append(candidates, balance.Candidate{
 			Index: i, InFlight: len(s.attempts), Slots: v.limits.Slots,
 			SameZone: s.Zone == v.zone, Weight: standing.Weight, Latency: s.latency,
-			Suspect: standing.Suspect, Shedding: now.Sub(s.shedAt) < shedBackoff && !s.shedAt.IsZero(),
+			Suspect: standing.Suspect, Shedding: now.Before(s.shedUntil) || s.told.Shedding && now.Before(v.expires),
 		})
 	}
 	return balance.Pick(candidates, request.Protected, random)
--- a/health/verdict.go
+++ b/health/verdict.go
@@ -23,7 +23,7 @@
 
 func (j *Judge) verdictOn(now time.Time, i int, s *server) (one wire.ServerVerdict, told bool) {
 	level := round(j.fleet.level(i))
-	one = wire.ServerVerdict{Index: i, State: s.state, Draining: s.drain.active, Suspect: level >= suspectLevel}
+	one = wire.ServerVerdict{Index: i, State: s.state, Draining: s.drain.active, Suspect: level >= suspectLevel, Shedding: s.shedding.most(now)}
 	if one.Suspect {
 		one.Severity = level
 	}
@@ -38,7 +38,7 @@
 		one.Avoid = append(one.Avoid, zone)
 	}
 	slices.Sort(one.Avoid)
-	told = s.state != wire.StateInService || one.Draining || one.Suspect || len(one.Avoid) > 0
+	told = s.state != wire.StateInService || one.Draining || one.Suspect || one.Shedding || len(one.Avoid) > 0
 	return one, told
 }
 
--- a/wire/health.go
+++ b/wire/health.go
@@ -70,6 +70,7 @@
 	State    ServerState `json:"st,omitempty"`
 	Draining bool        `json:"d,omitempty"`
 	Suspect  bool        `json:"su,omitempty"` // protected requests go elsewhere
+	Shedding bool        `json:"sh,omitempty"` // refuses most requests at present
 	Severity float64     `json:"sv,omitempty"` // score over threshold; the worst are ejected first
 	Weight   float64     `json:"w,omitempty"`  // share of a full server's requests in slow start
 	Left     int64       `json:"l,omitempty"`  // milliseconds until an ejection ends
