--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,6 +76,7 @@
 	claims     *claims
 	lending    *lending
 	shares     *shares
+	judges     *judges
 }
 
 // New returns an agent that uses the given store and list of VMs.
@@ -89,6 +90,7 @@
 		background: background, end: end, store: store, vms: vms,
 		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers, claims: newClaims(store),
 	}
+	agent.judges = newJudges(settings.VM, agent.peers, agent.state, log, events)
 	agent.lending = newLending(agent.peers, agent.state, log, events)
 	agent.shares = newShares(agent)
 	return agent
@@ -125,6 +127,7 @@
 	go a.recordWithdrawals(a.background)
 	go a.checkAuthority(a.background)
 	go a.lending.run(a.background)
+	go a.judges.run(a.background)
 }
 
 func (a *Agent) handlers() *wire.Handlers {
@@ -137,6 +140,8 @@
 	wire.Handle(handlers, wire.MethodDocument, a.document)
 	wire.Handle(handlers, wire.MethodChunks, a.chunks)
 	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
+	wire.Handle(handlers, wire.MethodHealth, a.judges.report)
+	wire.Handle(handlers, wire.MethodJudge, a.judges.observe)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
