--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,7 +88,8 @@
 	agent := &Agent{
 		settings: settings, log: log, events: events, admin: daemon.NewAdmin(events), now: time.Now, started: time.Now(),
 		background: background, end: end, store: store, vms: vms,
-		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers, claims: newClaims(store),
+		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers,
+		claims: newClaims(settings.VM, store, peers, events, log),
 	}
 	agent.judges = newJudges(settings.VM, agent.peers, agent.state, log, events)
 	agent.lending = newLending(agent.peers, agent.state, log, events)
@@ -102,6 +103,7 @@
 	if a.settings.Profile {
 		a.admin.EnableProfiling()
 	}
+	a.admin.Router().GET("/claims", a.claims.serveStatus)
 	if err := a.admin.Start(a.background, a.settings.Admin); err != nil {
 		return err
 	}
@@ -142,8 +144,7 @@
 	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
 	wire.Handle(handlers, wire.MethodHealth, a.judges.report)
 	wire.Handle(handlers, wire.MethodJudge, a.judges.observe)
-	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
-	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	a.claims.handle(handlers)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
 	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
 	return handlers
