--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,6 +76,7 @@
 	claims     *claims
 	lending    *lending
 	shares     *shares
+	judges     *judges
 }
 
 // New returns an agent that uses the given store and list of VMs.
@@ -90,6 +91,7 @@
 		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers,
 		claims: newClaims(settings.VM, store, peers, events, log),
 	}
+	agent.judges = newJudges(settings.VM, agent.peers, agent.state, log, events)
 	agent.lending = newLending(agent.peers, agent.state, log, events)
 	agent.shares = newShares(agent)
 	return agent
@@ -127,6 +129,7 @@
 	go a.recordWithdrawals(a.background)
 	go a.checkAuthority(a.background)
 	go a.lending.run(a.background)
+	go a.judges.run(a.background)
 }
 
 func (a *Agent) handlers() *wire.Handlers {
@@ -136,11 +139,14 @@
 	wire.Handle(handlers, wire.MethodHandBack, a.handBack)
 	wire.Handle(handlers, wire.MethodStatus, a.status)
 	wire.Handle(handlers, wire.MethodExchange, a.exchange)
-	a.claims.handle(handlers)
 	wire.Handle(handlers, wire.MethodDocument, a.document)
 	wire.Handle(handlers, wire.MethodChunks, a.chunks)
 	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
+	wire.Handle(handlers, wire.MethodHealth, a.judges.report)
+	wire.Handle(handlers, wire.MethodJudge, a.judges.observe)
+	a.claims.handle(handlers)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
 	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
+	wire.Handle(handlers, wire.MethodInherit, a.shares.inherit)
 	return handlers
 }
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -115,6 +115,8 @@
 	switch answer.State {
 	case wire.ClaimInDoubt:
 		return wire.ClaimAnswer{}, errs.New(errs.Ambiguous, "the claim may be recorded", "try again with the same key")
+	case wire.ClaimAbandoned:
+		return wire.ClaimAnswer{}, errs.New(errs.Unavailable, "the attempt was given up", "try again with the same key")
 	case wire.ClaimRefused, wire.ClaimNotOwner:
 		return wire.ClaimAnswer{}, errs.New(errs.Unavailable, "the claim cannot be recorded", "check the platform's store")
 	}
--- a/agent/claims_test.go
+++ b/agent/claims_test.go
@@ -154,21 +154,24 @@
 // another agent, and one that was given up stays given up.
 func TestRepeatedAndAbandonedClaims(t *testing.T) {
 	b := newClaimsBench(t, 2)
-	keys := newKeys(2)
-	for agent := range b.claims {
-		if state := b.ask(t, agent, keys[0], "attempt"); state != wire.ClaimGranted {
-			t.Fatalf("repeated claim: %s", state)
+	for _, key := range newKeys(2 * once.Buckets) {
+		for agent := range b.claims {
+			if state := b.ask(t, agent, key, "attempt"); state != wire.ClaimGranted {
+				t.Fatalf("repeated claim: %s", state)
+			}
 		}
 	}
-	release := wire.SettleRequest{Claim: claimOf(keys[1], "lost"), NotRun: true}
-	if _, err := b.claims[0].settle(t.Context(), release); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := b.claims[1].claim(t.Context(), claimOf(keys[1], "lost")); errs.KindOf(err) != errs.Unavailable {
-		t.Fatalf("a claim that was given up before it arrived: %v", err)
-	}
-	if state := b.ask(t, 1, keys[1], "next"); state != wire.ClaimGranted {
-		t.Fatalf("the next attempt: %s", state)
+	for _, key := range newKeys(2 * once.Buckets) {
+		release := wire.SettleRequest{Claim: claimOf(key, "lost"), NotRun: true}
+		if _, err := b.claims[0].settle(t.Context(), release); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.claims[1].claim(t.Context(), claimOf(key, "lost")); errs.KindOf(err) != errs.Unavailable {
+			t.Fatalf("a claim that was given up before it arrived: %v", err)
+		}
+		if state := b.ask(t, 1, key, "next"); state != wire.ClaimGranted {
+			t.Fatalf("the next attempt: %s", state)
+		}
 	}
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -56,6 +56,7 @@
 	if next.Document != nil {
 		previous := e.table.Load()
 		table := newTable(next, previous)
+		e.servers.setTable(table)
 		e.table.Store(table)
 		e.endWithdrawn(table)
 		if previous == nil || previous.Revision != table.Revision {
--- a/once/bucket_test.go
+++ b/once/bucket_test.go
@@ -163,12 +163,12 @@
 
 	expect("to be released", s.ask(0, released, 10, 1), Granted)
 	s.end(0, released, 10, Settlement{NotRun: true})
-	expect("released attempt", s.ask(0, released, 10, 1), Refused)
+	expect("released attempt", s.ask(0, released, 10, 1), Abandoned)
 	expect("released, with another body", s.ask(0, released, 11, 2), Granted)
 
 	abandoned := s.newKey(4, 0)
 	s.end(0, abandoned, 12, Settlement{NotRun: true})
-	expect("claim that arrives after its release", s.ask(0, abandoned, 12, 1), Refused)
+	expect("claim that arrives after its release", s.ask(0, abandoned, 12, 1), Abandoned)
 	expect("next attempt", s.ask(0, abandoned, 13, 1), Granted)
 }
 
--- a/once/ledger.go
+++ b/once/ledger.go
@@ -19,6 +19,8 @@
 	Refused  Verdict = "refused"   // nothing was recorded
 	InDoubt  Verdict = "in-doubt"  // not granted, but may have been recorded
 	NotOwner Verdict = "not-owner" // nothing was recorded; the bucket has another owner
+
+	Abandoned Verdict = "abandoned" // the attempt was given up before
 )
 
 // Claim asks for the right to send a protected request.
@@ -89,7 +91,7 @@
 		return "", nil, false
 	case known.State == Released:
 		if known.Attempt == claim.Attempt {
-			return Refused, nil, true // the attempt was given up before
+			return Abandoned, nil, true
 		}
 		return "", nil, false
 	case known.Digest != claim.Digest:
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -12,6 +12,7 @@
 //	await [!] URL [RE]   poll until the answer is 200 and its body matches RE
 //	request METHOD URL [HEADER:VALUE ...] [-body TEXT]
 //	                     print status, headers and body to stdout
+//	get URL              print the body of an answer with status 200 to stdout
 //	background request ...
 //	                     send a request and do not wait for its answer
 //	retry RE request ... send a request until the printed answer matches RE
