Duplicates wait a moment for the answer; a passed deadline stops the send at once

Cause: a duplicate that came while the first copy ran was told 409 although the answer was a moment away. And TestProofNotRunDeadlineBetweenClaimAndSend failed: a deadline that had passed already was left to a timer, which fired after the request had been sent and answered.

Change: the claim is asked again every 100 ms for up to 1 s while the first copy runs. A deadline that has passed ends the work before anything is sent.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -18,6 +18,8 @@
 	idempotencyHeader     = "Idempotency-Key"
 	maxProtectedBodyBytes = 256 << 10 // a protected request is read whole before it is claimed
 	claimTimeout          = 2 * time.Second
+	pendingWait           = time.Second // of a duplicate for the answer to the copy before
+	pendingPoll           = 100 * time.Millisecond
 )
 
 // Claimer grants protected requests, each at most once across the fleet.
@@ -46,13 +48,30 @@
 	}
 	ctx, cancel := claimContext(x)
 	defer cancel()
-	answer, err := s.claimer.Claim(ctx, request)
+	answer, err := s.claim(ctx, request)
 	if err != nil {
 		return notRun(http.StatusServiceUnavailable, ReasonClaim, "the request could not be claimed; try again with the same key").after(time.Second)
 	}
 	return s.decide(x, request, answer)
 }
 
+// claim asks for the claim. While an earlier copy of the request runs, it waits a
+// moment for the answer to that.
+func (s claimStage) claim(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
+	answer, err := s.claimer.Claim(ctx, request)
+	for until := time.Now().Add(pendingWait); err == nil && answer.State == wire.ClaimPending; {
+		if time.Now().After(until) || !sleep(ctx, pendingPoll) {
+			break
+		}
+		next, nextErr := s.claimer.Claim(ctx, request)
+		if nextErr != nil {
+			break // what was known before is still true
+		}
+		answer = next
+	}
+	return answer, err
+}
+
 // claimContext ends with the caller's deadline, or before.
 func claimContext(x *Exchange) (context.Context, context.CancelFunc) {
 	latest := time.Now().Add(claimTimeout)
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -59,8 +59,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &work{Context: ctx, cancel: cancel}
-	if due, ok := x.Deadline(); ok {
-		w.timer = time.AfterFunc(time.Until(due), func() { cancel(errDeadline) })
+	due, ok := x.Deadline()
+	switch left := time.Until(due); {
+	case ok && left <= 0:
+		cancel(errDeadline) // at once, so that nothing is sent
+	case ok:
+		w.timer = time.AfterFunc(left, func() { cancel(errDeadline) })
 	}
 	return w
 }
--- a/entry/once_proof_test.go
+++ b/entry/once_proof_test.go
@@ -106,3 +106,33 @@
 		t.Fatalf("ran %d times", runs)
 	}
 }
+
+// A duplicate that arrives while the first copy runs gets the answer to it.
+func TestProofOnceDuplicateWaitsForTheAnswer(t *testing.T) {
+	server := newRawServer(t, func(c *rawConn, _ int) {
+		if c.read() != nil {
+			time.Sleep(150 * time.Millisecond)
+			c.send(okAnswer)
+		}
+	})
+	b := newBench(t, addresses(server)...)
+	key := newKey()
+	const copies = 4
+	replies := make(chan reply, copies)
+	for range copies {
+		go func() { replies <- b.protected(t, key, "order") }()
+	}
+	replayed := 0
+	for range copies {
+		got := <-replies
+		if got.body != "ok" {
+			t.Fatalf("got %+v", got)
+		}
+		if got.outcome == OutcomeReplayed {
+			replayed++
+		}
+	}
+	if _, runs := server.counts(); runs != 1 || replayed != copies-1 {
+		t.Fatalf("%d runs, %d replays", runs, replayed)
+	}
+}
