--- /dev/null
+++ b/capacity/slopes.go
@@ -0,0 +1,137 @@
+package capacity
+
+import (
+	"bufio"
+	_ "embed"
+	"io"
+	"strconv"
+	"strings"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/errs"
+)
+
+//go:embed slopes.yaml
+var embedded []byte
+
+// Line says how one measure of one VM grows: Base plus each slope times its driver.
+type Line struct {
+	Base   float64            `yaml:"base"`
+	Slopes map[driver]float64 `yaml:"slopes"`
+}
+
+// Slopes holds a line for each measure.
+type Slopes struct {
+	Measures map[string]Line `yaml:"measures" validate:"required"`
+}
+
+// Embedded returns the slopes measured last.
+func Embedded() (Slopes, error) {
+	var slopes Slopes
+	err := daemon.DecodeYAML("slopes.yaml", embedded, &slopes)
+	return slopes, err
+}
+
+// value returns the measure at a size; a measure that is not known is 0.
+func (s Slopes) value(measure string, size Size) float64 {
+	line := s.Measures[measure]
+	total := line.Base
+	for name, amount := range size.values() {
+		total += line.Slopes[name] * amount
+	}
+	return total
+}
+
+// point is one figure of scripts/slopes.sh.
+type point struct {
+	size, value float64
+}
+
+type measurements map[driver]map[string][]point // by series, then measure
+
+// Fit reads the lines of scripts/slopes.sh and returns the slopes.
+func Fit(lines io.Reader) (Slopes, error) {
+	measured, err := readMeasurements(lines)
+	if err != nil {
+		return Slopes{}, err
+	}
+	slopes := Slopes{Measures: map[string]Line{}}
+	for _, series := range measured {
+		for measure := range series {
+			slopes.Measures[measure] = measured.line(measure)
+		}
+	}
+	return slopes, nil
+}
+
+func readMeasurements(lines io.Reader) (measurements, error) {
+	measured := measurements{}
+	scanner := bufio.NewScanner(lines)
+	for number := 1; scanner.Scan(); number++ {
+		if err := measured.add(scanner.Text()); err != nil {
+			return nil, errs.Wrap(err, errs.Invalid, "line "+strconv.Itoa(number)+" of the measurements",
+				"pass the output of scripts/slopes.sh as it is")
+		}
+	}
+	return measured, scanner.Err()
+}
+
+// add parses "series <TAB> size <TAB> measure <TAB> value".
+func (m measurements) add(line string) error {
+	fields := strings.Split(line, "\t")
+	if len(fields) != 4 {
+		return errs.New(errs.Invalid, strconv.Itoa(len(fields))+" fields", "separate four fields by tabs")
+	}
+	size, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return err
+	}
+	value, err := strconv.ParseFloat(fields[3], 64)
+	if err != nil {
+		return err
+	}
+	series := driver(fields[0])
+	if m[series] == nil {
+		m[series] = map[string][]point{}
+	}
+	m[series][fields[2]] = append(m[series][fields[2]], point{size: size, value: value})
+	return nil
+}
+
+// line fits one measure. The series of changes has one change a second and its
+// size is the number of client accounts; what it has above the idle series of
+// client accounts is the cost of a change.
+func (m measurements) line(measure string) Line {
+	line := Line{Slopes: map[driver]float64{}}
+	line.Base, line.Slopes[driverVMs] = leastSquares(m[driverVMs][measure])
+	for _, series := range []driver{driverServers, driverRoutes, driverKeys, driverRequests, driverProtected} {
+		_, line.Slopes[series] = leastSquares(m[series][measure])
+	}
+	idle, perAccount := leastSquares(m[driverAccounts][measure])
+	line.Slopes[driverAccounts] = perAccount
+	if changing := m[driverChanges][measure]; len(changing) > 0 {
+		atOnce, perAccountChange := leastSquares(changing)
+		line.Slopes[driverChanges] = atOnce - idle
+		line.Slopes[driverChangeAccount] = perAccountChange - perAccount
+	}
+	return line
+}
+
+// leastSquares returns the straight line through the points.
+func leastSquares(points []point) (base, slope float64) {
+	if len(points) == 0 {
+		return 0, 0
+	}
+	var size, value, square, product float64
+	n := float64(len(points))
+	for _, p := range points {
+		size += p.size
+		value += p.value
+		square += p.size * p.size
+		product += p.size * p.value
+	}
+	if spread := n*square - size*size; spread > 0 {
+		slope = (n*product - size*value) / spread
+	}
+	return (value - slope*size) / n, slope
+}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -17,6 +17,7 @@
 	Key      KeyCommand      `cmd:"" help:"Grant and withdraw client keys."`
 	Status   StatusCommand   `cmd:"" help:"Show the revision that each VM has in force."`
 	Timeline TimelineCommand `cmd:"" help:"Merge the time lines of processes."`
+	Capacity CapacityCommand `cmd:"" help:"Work out what the fleet needs at a size."`
 }
 
 // StoreFlags say where the platform is and who is asking.
