--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 # Everything a newcomer needs: make demo runs the fleet, make test passes the tests.
 GO ?= go
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
+LDFLAGS = -X lacewingmount.dev/daemon.Version=$(VERSION)
 
-.PHONY: build demo test bench fmt tidy proof
+.PHONY: build demo test bench fmt tidy proof red slopes
 
 build:
-	$(GO) build -o bin/ ./cmd/...
+	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
 
 demo: build
 	./scripts/demo.sh
@@ -25,3 +27,11 @@
 # make proof runs the proofs of all must-holds; make proof POINT=rate runs one.
 proof:
 	./scripts/proof.sh $(POINT)
+
+# make red POINT=once removes a mechanism and succeeds only if a proof notices.
+red:
+	./scripts/red.sh $(POINT) $(WHAT)
+
+# make slopes measures agents against size; feed it to "lacewingctl capacity fit".
+slopes: build
+	@./scripts/slopes.sh
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -36,6 +36,8 @@
 	ReasonMethod       Reason = "method"
 	ReasonKey          Reason = "key"
 	ReasonRate         Reason = "rate"
+	ReasonRateUnknown  Reason = "rate-unknown"
+	ReasonBusy         Reason = "busy"
 	ReasonDuplicate    Reason = "duplicate"
 	ReasonClaim        Reason = "claim-unavailable"
 	ReasonNoServer     Reason = "no-server"
