--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+func TestTrendIgnoresNoise(t *testing.T) {
+	for name, test := range map[string]struct {
+		points []point
+		slope  float64
+	}{
+		"rising":           {[]point{{1, 10}, {2, 20}, {3, 30}}, 10},
+		"falling":          {[]point{{1, 30}, {2, 20}, {3, 10}}, 0},
+		"flat":             {[]point{{1, 100}, {2, 101}, {3, 102}}, 0},
+		"scattered":        {[]point{{1, 10}, {2, 40}, {3, 5}, {4, 40}}, 0},
+		"one size":         {[]point{{1, 10}, {1, 40}}, 0},
+		"rising and rough": {[]point{{0, 10}, {10, 30}, {20, 45}, {30, 80}}, 2.25},
+	} {
+		if _, slope := trend(test.points); math.Abs(slope-test.slope) > 1e-9 {
+			t.Errorf("%s: slope %v, want %v", name, slope, test.slope)
+		}
+	}
+}
+
 func TestFitRefusesOtherText(t *testing.T) {
 	for _, text := range []string{"vms 10 cpu 3\n", "vms\tx\tcpu\t3\n", "vms\t1\tcpu\tx\n"} {
 		if _, err := Fit(strings.NewReader("vms\t1\tcpu\t3\n" + text)); err == nil || !strings.Contains(err.Error(), "line 2") {
--- a/capacity/slopes.go
+++ b/capacity/slopes.go
@@ -100,38 +100,68 @@
 
 // line fits one measure. The series of changes has one change a second and its
 // size is the number of client accounts; what it has above the idle series of
-// client accounts is the cost of a change.
+// client accounts is the cost of a change. A key costs as much as the part of a
+// client account that has the same bytes of configuration.
 func (m measurements) line(measure string) Line {
 	line := Line{Slopes: map[driver]float64{}}
-	line.Base, line.Slopes[driverVMs] = leastSquares(m[driverVMs][measure])
-	for _, series := range []driver{driverServers, driverRoutes, driverKeys, driverRequests, driverProtected} {
-		_, line.Slopes[series] = leastSquares(m[series][measure])
+	line.Base, line.Slopes[driverVMs] = trend(m[driverVMs][measure])
+	for _, series := range []driver{driverServers, driverRoutes, driverRequests, driverProtected} {
+		_, line.Slopes[series] = trend(m[series][measure])
 	}
-	idle, perAccount := leastSquares(m[driverAccounts][measure])
+	idle, perAccount := trend(m[driverAccounts][measure])
 	line.Slopes[driverAccounts] = perAccount
+	line.Slopes[driverKeys] = perAccount * m.accountsPerKey()
 	if changing := m[driverChanges][measure]; len(changing) > 0 {
-		atOnce, perAccountChange := leastSquares(changing)
-		line.Slopes[driverChanges] = atOnce - idle
-		line.Slopes[driverChangeAccount] = perAccountChange - perAccount
+		atOnce, perAccountChange := trend(changing)
+		line.Slopes[driverChanges] = max(0, atOnce-idle)
+		line.Slopes[driverChangeAccount] = max(0, perAccountChange-perAccount) * (1 + m.accountsPerKey())
 	}
 	return line
 }
 
-// leastSquares returns the straight line through the points.
-func leastSquares(points []point) (base, slope float64) {
+// accountsPerKey is the size of a key's configuration in client accounts.
+func (m measurements) accountsPerKey() float64 {
+	_, key := trend(m[driverKeys][measureConfigBytes])
+	_, account := trend(m[driverAccounts][measureConfigBytes])
+	if account == 0 {
+		return 0
+	}
+	return key / account
+}
+
+// Slopes that do not stand out of the noise would be nonsense far beyond the
+// measured sizes.
+const (
+	leastGrowth      = 0.05 // over the measured sizes, of the mean
+	leastCorrelation = 0.7  // coefficient of determination
+)
+
+// trend returns the least-squares line through the points, or their mean where
+// no growth stands out.
+func trend(points []point) (base, slope float64) {
 	if len(points) == 0 {
 		return 0, 0
 	}
-	var size, value, square, product float64
 	n := float64(len(points))
+	var size, value float64
+	for _, p := range points {
+		size += p.size / n
+		value += p.value / n
+	}
+	var spread, rise, variance float64
+	lowest, highest := points[0].size, points[0].size
 	for _, p := range points {
-		size += p.size
-		value += p.value
-		square += p.size * p.size
-		product += p.size * p.value
+		spread += (p.size - size) * (p.size - size)
+		rise += (p.size - size) * (p.value - value)
+		variance += (p.value - value) * (p.value - value)
+		lowest, highest = min(lowest, p.size), max(highest, p.size)
+	}
+	if spread == 0 || variance == 0 {
+		return value, 0
 	}
-	if spread := n*square - size*size; spread > 0 {
-		slope = (n*product - size*value) / spread
+	slope = rise / spread
+	if slope*(highest-lowest) < leastGrowth*value || rise*rise/(spread*variance) < leastCorrelation {
+		return value, 0
 	}
-	return (value - slope*size) / n, slope
+	return value - slope*size, slope
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,6 +36,7 @@
 	table    atomic.Pointer[Table]
 	stages   []Stage
 	served   *metrics.Counter
+	refused  refusalCounters
 	duration *metrics.Histogram
 }
 
@@ -131,7 +131,7 @@
 	if refusal.Outcome == OutcomeReplayed {
 		return
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`lacewing_refusals_total{stage=%q,reason=%q,outcome=%q}`, stage, refusal.Reason, refusal.Outcome)).Inc()
+	e.refused.of(refusalClass{stage, refusal.Reason, refusal.Outcome}).Inc()
 	e.events.Add(timeline.Event{
 		Kind: timeline.KindRefused, Account: x.AccountName(), Request: x.RequestID,
 		Reason: string(refusal.Reason) + " " + string(refusal.Outcome),
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -11,14 +12,14 @@
 	Counter uint32 `json:"c,omitempty"`
 }
 
-// Before reports whether s is ordered before other.
-func (s Stamp) Before(other Stamp) bool {
-	if s.Wall != other.Wall {
-		return s.Wall < other.Wall
-	}
-	return s.Counter < other.Counter
+// Compare returns a negative number if s is ordered before other, and 0 if they are equal.
+func (s Stamp) Compare(other Stamp) int {
+	return cmp.Or(cmp.Compare(s.Wall, other.Wall), cmp.Compare(s.Counter, other.Counter))
 }
 
+// Before reports whether s is ordered before other.
+func (s Stamp) Before(other Stamp) bool { return s.Compare(other) < 0 }
+
 // Clock is a hybrid logical clock. It is safe for concurrent use.
 type Clock struct {
 	mu   sync.Mutex
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -1,6 +1,9 @@
 package timeline
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Kind names a type of event.
 type Kind string
@@ -37,46 +40,64 @@
 	Reason   string `json:"reason,omitempty"`
 }
 
-// RingCapacity is the number of events that a process keeps.
-const RingCapacity = 4096
+// EventsPerKind is the number of events of one kind that a process keeps.
+const EventsPerKind = 1024
 
-// Ring keeps the newest events of one process. It is safe for concurrent use.
+// Ring keeps the newest events of each kind of one process, so that a flood of
+// refusals displaces no ejection. It is safe for concurrent use.
 type Ring struct {
 	mu      sync.Mutex
 	clock   *Clock
 	vm      string
 	program string
-	events  []Event
-	next    int
+	kinds   map[Kind]*kindRing
+}
+
+// kindRing keeps the newest events of one kind.
+type kindRing struct {
+	events []Event
+	oldest int // once full
 }
 
 // NewRing returns an empty ring for the named process.
 func NewRing(clock *Clock, vm, program string) *Ring {
-	return &Ring{clock: clock, vm: vm, program: program}
+	return &Ring{clock: clock, vm: vm, program: program, kinds: map[Kind]*kindRing{}}
 }
 
 // Clock returns the clock that stamps the events.
 func (r *Ring) Clock() *Clock { return r.clock }
 
-// Add stamps the event and keeps it, dropping the oldest event when full.
+// Add stamps the event and keeps it, dropping the oldest one of its kind when full.
 func (r *Ring) Add(event Event) {
-	event.At = r.clock.Now()
-	event.VM, event.Program = r.vm, r.program
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.events) < RingCapacity {
-		r.events = append(r.events, event)
+	event.At = r.clock.Now()
+	event.VM, event.Program = r.vm, r.program
+	kept := r.kinds[event.Kind]
+	if kept == nil {
+		kept = &kindRing{}
+		r.kinds[event.Kind] = kept
+	}
+	kept.add(event)
+}
+
+func (k *kindRing) add(event Event) {
+	if len(k.events) < EventsPerKind {
+		k.events = append(k.events, event)
 		return
 	}
-	r.events[r.next] = event
-	r.next = (r.next + 1) % RingCapacity
+	k.events[k.oldest] = event
+	k.oldest = (k.oldest + 1) % EventsPerKind
 }
 
 // Events returns a copy of the kept events, oldest first.
 func (r *Ring) Events() []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	events := make([]Event, 0, len(r.events))
-	events = append(events, r.events[r.next:]...)
-	return append(events, r.events[:r.next]...)
+	events := []Event{}
+	for _, kept := range r.kinds {
+		events = append(events, kept.events...)
+	}
+	slices.SortFunc(events, func(a, b Event) int { return a.At.Compare(b.At) })
+	return events
 }
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -13,13 +13,9 @@
 	sent, received *metrics.Counter
 }
 
-// NewMeter returns the meter behind the metrics lacewing_<kind>_sent_bytes_total
-// and lacewing_<kind>_received_bytes_total.
-func NewMeter(kind string) *Meter {
-	return &Meter{
-		sent:     metrics.GetOrCreateCounter("lacewing_" + kind + "_sent_bytes_total"),
-		received: metrics.GetOrCreateCounter("lacewing_" + kind + "_received_bytes_total"),
-	}
+// NewMeter returns the meter behind the two named counters.
+func NewMeter(sent, received string) *Meter {
+	return &Meter{sent: metrics.GetOrCreateCounter(sent), received: metrics.GetOrCreateCounter(received)}
 }
 
 // Count returns the connection with its bytes counted.
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestMeterCountsEachDirection(t *testing.T) {
-	meter := NewMeter("test")
+	meter := NewMeter("test_sent", "test_received")
 	near, far := net.Pipe()
 	conn := meter.Count(near)
 	go func() {
--- a/wire/meter.go
+++ b/wire/meter.go
@@ -10,7 +10,7 @@
 )
 
 // meter counts the bytes of all connections between the fleet's own processes.
-var meter = traffic.NewMeter("wire")
+var meter = traffic.NewMeter("lacewing_wire_sent_bytes_total", "lacewing_wire_received_bytes_total")
 
 // methodMeter counts the calls of one method and their message bodies.
 type methodMeter struct {
@@ -24,13 +24,13 @@
 
 // methodMeters returns the meters of one side, by method.
 type methodMeters struct {
-	side    string // "sent" or "served"
-	methods sync.Map
+	calls, bytes string // names of the metrics
+	methods      sync.Map
 }
 
 var (
-	sentMethods   = &methodMeters{side: "sent"}
-	servedMethods = &methodMeters{side: "served"}
+	sentMethods   = &methodMeters{calls: "lacewing_wire_sent_calls_total", bytes: "lacewing_wire_sent_body_bytes_total"}
+	servedMethods = &methodMeters{calls: "lacewing_wire_served_calls_total", bytes: "lacewing_wire_served_body_bytes_total"}
 )
 
 func (m *methodMeters) of(method string) *methodMeter {
@@ -38,8 +38,8 @@
 		return known.(*methodMeter)
 	}
 	created := &methodMeter{
-		calls: metrics.GetOrCreateCounter(fmt.Sprintf("lacewing_wire_%s_calls_total{method=%q}", m.side, method)),
-		bytes: metrics.GetOrCreateCounter(fmt.Sprintf("lacewing_wire_%s_body_bytes_total{method=%q}", m.side, method)),
+		calls: metrics.GetOrCreateCounter(fmt.Sprintf("%s{method=%q}", m.calls, method)),
+		bytes: metrics.GetOrCreateCounter(fmt.Sprintf("%s{method=%q}", m.bytes, method)),
 	}
 	known, _ := m.methods.LoadOrStore(method, created)
 	return known.(*methodMeter)
