--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,6 +40,6 @@
   {held = held $0 "\n"}
   /^FAIL\t/ {printf "%s", held; held = ""}
   END {printf "%s", held}' run/test.log
-counted() { grep -cE "^ *--- $1: " run/test.log || true; }
-echo "$(counted PASS) passed, $(counted FAIL) failed, $(counted SKIP) skipped (subtests counted)"
+counted() { grep -cE "^--- $1: " run/test.log || true; }
+echo "$(counted PASS) passed, $(counted FAIL) failed, $(counted SKIP) skipped"
 exit "$status"
