--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"math"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -87,3 +89,23 @@
 		}
 	}
 }
+
+// TestEmbeddedSlopesAreThoseOfTheMeasurements keeps slopes.yaml in step with the raw figures beside it.
+func TestEmbeddedSlopesAreThoseOfTheMeasurements(t *testing.T) {
+	file, err := os.Open("measurements.tsv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	fitted, err := Fit(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	embedded, err := Embedded()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(fitted, embedded) {
+		t.Fatal("run: lacewingctl capacity fit capacity/measurements.tsv > capacity/slopes.yaml")
+	}
+}
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -36,6 +36,8 @@
 	driverKeys          driver = "keys"
 	driverRequests      driver = "requests"       // a second, of one VM
 	driverProtected     driver = "protected"      // a second, of one VM
+	driverActive        driver = "active"         // client accounts with requests at one VM
+	driverServices      driver = "services"       // services with requests at one VM
 	driverChanges       driver = "changes"        // a second
 	driverChangeAccount driver = "change_account" // changes a second times client accounts
 )
@@ -43,11 +45,14 @@
 // values returns the value of each driver.
 func (s Size) values() map[driver]float64 {
 	changes := s.ChangesPerDay / secondsPerDay
+	requests := s.Requests / float64(s.Nodes)
 	return map[driver]float64{
 		driverVMs: float64(s.Nodes), driverAccounts: float64(s.Accounts), driverServers: float64(s.Servers),
 		driverRoutes: float64(s.Routes), driverKeys: float64(s.Accounts),
-		driverRequests:  s.Requests / float64(s.Nodes),
-		driverProtected: s.Requests * s.ProtectedShare / float64(s.Nodes),
+		driverRequests:  requests,
+		driverActive:    min(float64(s.Accounts), requests), // no more than one for each request of a second
+		driverServices:  min(float64(s.Services), requests),
+		driverProtected: requests * s.ProtectedShare,
 		driverChanges:   changes, driverChangeAccount: changes * float64(s.Accounts),
 	}
 }
--- a/capacity/slopes.go
+++ b/capacity/slopes.go
@@ -47,6 +47,27 @@
 	size, value float64
 }
 
+// rounded returns the line without slopes of 0 and with few digits.
+func (l Line) rounded() Line {
+	short := Line{Base: significant(l.Base), Slopes: map[driver]float64{}}
+	for name, slope := range l.Slopes {
+		if slope != 0 {
+			short.Slopes[name] = significant(slope)
+		}
+	}
+	return short
+}
+
+const significantDigits = 5
+
+func significant(x float64) float64 {
+	short, err := strconv.ParseFloat(strconv.FormatFloat(x, 'g', significantDigits, 64), 64)
+	if err != nil {
+		return x
+	}
+	return short
+}
+
 type measurements map[driver]map[string][]point // by series, then measure
 
 // Fit reads the lines of scripts/slopes.sh and returns the slopes.
@@ -58,7 +79,7 @@
 	slopes := Slopes{Measures: map[string]Line{}}
 	for _, series := range measured {
 		for measure := range series {
-			slopes.Measures[measure] = measured.line(measure)
+			slopes.Measures[measure] = measured.line(measure).rounded()
 		}
 	}
 	return slopes, nil
@@ -108,6 +129,10 @@
 	for _, series := range []driver{driverServers, driverRoutes, driverRequests, driverProtected} {
 		_, line.Slopes[series] = trend(m[series][measure])
 	}
+	for _, series := range []driver{driverActive, driverServices} {
+		_, slope := trend(m[series][measure])
+		line.Slopes[series] = max(0, slope-requestsPerActive*line.Slopes[driverRequests])
+	}
 	idle, perAccount := trend(m[driverAccounts][measure])
 	line.Slopes[driverAccounts] = perAccount
 	line.Slopes[driverKeys] = perAccount * m.accountsPerKey()
@@ -119,6 +144,10 @@
 	return line
 }
 
+// requestsPerActive is the number of requests a second that a VM gets for each
+// client account of the series "active" and each service of "services".
+const requestsPerActive = 2
+
 // accountsPerKey is the size of a key's configuration in client accounts.
 func (m measurements) accountsPerKey() float64 {
 	_, key := trend(m[driverKeys][measureConfigBytes])
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -8,9 +8,10 @@
 # Values are means over the agents (lacewing_*, agent_*) or entries (entry_*), per
 # second where a measure has a rate. The size of the series "requests" and
 # "protected" is the rate of one VM; that of "changes" is the number of client
-# accounts, with one change a second. Feed the output to "lacewingctl capacity
-# fit". Starts at most 190 processes and takes about five minutes. LACEWING_NET
-# picks the loopback network; arguments pick series.
+# accounts, with one change a second; those of "active" and "services" are the
+# client accounts and services that each VM gets two requests a second of. Feed
+# the output to "lacewingctl capacity fit". Starts at most 190 processes and takes
+# about six minutes. LACEWING_NET picks the loopback network; arguments pick series.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 net=${LACEWING_NET:-127.79}
@@ -22,11 +23,11 @@
 export LACEWING_CREDENTIAL=slopes-operator
 platform=$net.0.1:7000
 
-questionnaire() { # questionnaire ACCOUNTS SERVERS ROUTES
+questionnaire() { # questionnaire ACCOUNTS SERVERS ROUTES [SERVERS-OF-A-SERVICE]
+  local service left=$2 count most=${4:-200}
   printf 'partner: slopes\nconcern: detection-time\nservices:\n'
-  local service left=$2 count
   for ((service = 1; left > 0; service++)); do
-    count=$((left < 200 ? left : 200))
+    count=$((left < most ? left : most))
     printf '  - name: service-%d\n    floor: 1\n    slots: 6\n    connections: 400\n' "$service"
     printf '    servers: [{zone: a, first: "%s.%d.1:9000", count: %d}]\n    requests:\n' "$net" "$service" "$count"
     printf '      - {path: /service-%d, methods: [GET], answer_within: 2s}\n' "$service"
@@ -55,10 +56,14 @@
   for i in $(seq "$1"); do await "http://$net.100.$i:7101/readyz"; done
 }
 
-start_entries() { # start_entries VMS, with the backend servers of service-1
+start_backends() { # the backend servers of the section, at most 60
   { echo "admin: $net.0.2:7002"; echo "servers:"; } >"$run/backend.yaml"
-  for i in 1 2 3 4 5 6 7 8; do echo "  - {name: service-1-$i, listen: \"$net.1.$i:9000\"}" >>"$run/backend.yaml"; done
+  awk '/name:/ {name = $NF} /address:/ {print "  - {name: " name ", listen: \"" $2 "\"}"}' "$run/section.yaml" |
+    head -n 60 >>"$run/backend.yaml"
   start backend standin-backend "$run/backend.yaml"
+}
+
+start_entries() { # start_entries VMS
   entries=()
   for i in $(seq "$1"); do
     echo "{vm: vm-$i, zone: a, listen: \"$net.100.$i:8000\", admin: \"$net.100.$i:8001\", agent: \"$net.100.$i:7100\", drain_delay: 10ms}" >"$run/entry-$i.yaml"
@@ -68,11 +73,13 @@
   for i in $(seq "$1"); do await "http://$net.100.$i:8001/readyz"; done
 }
 
-grant() { bin/lacewingctl key grant --platform "http://$platform" --partner slopes --account account-1; }
+grant() { # grant ACCOUNT
+  bin/lacewingctl key grant --platform "http://$platform" --partner slopes --account "$1"
+}
 
 grant_each_second() { # grant_each_second COUNT
   for _ in $(seq "$1"); do
-    grant >/dev/null &
+    grant account-1 >/dev/null &
     sleep 1
     wait $!
   done
@@ -120,29 +127,36 @@
 }
 
 # point SERIES SIZE VMS ACCOUNTS SERVERS ROUTES KEYS [MIX]: one measurement on a
-# fresh fleet, idle, with one change a second, or under the load of a mix.
+# fresh fleet, idle, with one change a second, or under the load of mixes.
 point() {
-  local series=$1 size=$2 vms=$3 keys=$7 mix=${8:-} key
+  local series=$1 size=$2 vms=$3 keys=$7 mix=${8:-} key mixes=() most=200
+  [ "$series" != services ] || most=1
   rm -rf "$run" && mkdir -p "$run"
   pids=()
   start_agents "$vms"
-  questionnaire "$4" "$5" "$6" >"$run/questionnaire.yaml"
+  questionnaire "$4" "$5" "$6" "$most" >"$run/questionnaire.yaml"
   bin/lacewingctl generate "$run/questionnaire.yaml" -o "$run/section.yaml"
   bin/lacewingctl apply --platform "http://$platform" --wait 20s "$run/section.yaml" >/dev/null
+  start_backends
   start_entries "$vms"
-  for _ in $(seq "$keys"); do key=$(grant); done
+  for _ in $(seq "$keys"); do key=$(grant account-1); done
+  case "$series" in
+    active) for i in $(seq "$size"); do mixes+=("{account: account-$i, key: $(grant "account-$i"), method: GET, path: /service-1, rate: 8, size: 500}"); done ;;
+    services) for i in $(seq "$size"); do mixes+=("{account: account-1, key: $key, method: GET, path: /service-$i, rate: 8, size: 500}"); done ;;
+    *) mixes=("{account: account-1, key: $key, $mix}") ;;
+  esac
   case "$mix" in
     "") measure "$series" "$size" true ;;
     changes) measure "$series" "$size" grant_each_second "$window" ;;
     *)
-      printf 'duration: %ds\nentries: [%s]\nmixes: [{account: account-1, key: %s, %s}]\n' "$window" \
-        "$(seq -s, -f "$net.100.%g:8000" "$vms")" "$key" "$mix" >"$run/load.yaml"
+      printf 'duration: %ds\nentries: [%s]\nmixes: [%s]\n' "$window" \
+        "$(seq -s, -f "$net.100.%g:8000" "$vms")" "$(IFS=,; echo "${mixes[*]}")" >"$run/load.yaml"
       measure "$series" "$size" bin/lacewing-load --json "$run/report.json" "$run/load.yaml" | grep -P '\t' ;;
   esac
   stop_all
 }
 
-wanted=${*:-vms accounts servers routes keys requests protected changes}
+wanted=${*:-vms accounts servers routes keys requests protected active services changes}
 for series in $wanted; do
   case "$series" in
     vms) for n in 4 16 48 90; do point vms $n $n 16 20 10 1; done ;;
@@ -152,6 +166,8 @@
     keys) for n in 1 10 30; do point keys $n 8 16 20 10 $n; done ;;
     requests) for n in 10 100 400; do point requests $n 4 16 8 10 1 "method: GET, path: /service-1, rate: $((4 * n)), size: 500"; done ;;
     protected) for n in 2 8 24; do point protected $n 4 16 8 10 1 "method: POST, path: /orders, rate: $((4 * n)), size: 500, upload: 300, protected: true"; done ;;
+    active) for n in 2 10 30; do point active $n 4 40 8 10 1 mixes; done ;;
+    services) for n in 2 10 30; do point services $n 4 16 $n 10 1 mixes; done ;;
     changes) for n in 100 1000 4000; do point changes $n 8 $n 20 10 1 changes; done ;;
     *) echo "no series $series" >&2; exit 1 ;;
   esac
