--- a/agent/health.go
+++ b/agent/health.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/health"
 	"lacewingmount.dev/health/probe"
@@ -168,8 +169,7 @@
 	service := known.service
 	known.mu.Unlock()
 	for _, event := range events {
-		j.events.Add(timeline.Event{Kind: event.Kind, Server: event.Server, Reason: event.Reason})
-		j.log.Info(string(event.Kind), zap.String("service", name), zap.String("server", event.Server), zap.String("reason", event.Reason))
+		daemon.RecordServerChange(j.log, j.events, name, event)
 	}
 	for _, server := range service.Servers {
 		for _, due := range probes {
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/health"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -216,9 +217,8 @@
 	}
 }
 
-func (p *serverPicker) record(service string, events []health.Event) {
+func (p *serverPicker) record(service string, events []timeline.Event) {
 	for _, event := range events {
-		p.events.Add(timeline.Event{Kind: event.Kind, Server: event.Server, Reason: event.Reason})
-		p.log.Info(string(event.Kind), zap.String("service", service), zap.String("server", event.Server), zap.String("reason", event.Reason))
+		daemon.RecordServerChange(p.log, p.events, service, event)
 	}
 }
--- a/health/healthbench/bench.go
+++ b/health/healthbench/bench.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingmount.dev/health"
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -62,7 +63,7 @@
 	ByAccount []Count
 	Latency   []time.Duration // of answered requests
 	Events    []Timed
-	Bytes     int // of reports and verdicts between VMs, without the envelope
+	Bytes     int // of reports and verdicts between VMs, with their envelope
 	Probes    int
 }
 
@@ -72,7 +73,7 @@
 // Timed is an event of a judge with its time since the start.
 type Timed struct {
 	At time.Duration
-	health.Event
+	timeline.Event
 }
 
 // New returns a bench that has not started.
@@ -101,6 +102,12 @@
 	return b
 }
 
+// Bytes of the JSON-RPC envelope with its timestamp.
+const (
+	requestEnvelope = len(`{"method":"agent.judge","params":{"s":{"w":1800000000000000000},"b":},"id":100000,"jsonrpc":"2.0"}`)
+	answerEnvelope  = len(`{"id":100000,"result":{"s":{"w":1800000000000000000},"b":},"jsonrpc":"2.0"}`)
+)
+
 const (
 	advancePeriod = 250 * time.Millisecond
 	probePeriod   = 250 * time.Millisecond
@@ -195,7 +202,7 @@
 	}
 }
 
-func (b *Bench) record(events []health.Event) {
+func (b *Bench) record(events []timeline.Event) {
 	for _, event := range events {
 		b.Result.Events = append(b.Result.Events, Timed{b.clock.now.Sub(b.started), event})
 	}
@@ -206,7 +213,7 @@
 	sent := b.clock.now
 	report := view.Report(sent)
 	body, _ := json.Marshal(report)
-	b.Result.Bytes += len(body)
+	b.Result.Bytes += len(body) + requestEnvelope
 	home := b.homeFor(vm)
 	over := false
 	b.clock.after(callTimeout, func() {
@@ -269,7 +276,7 @@
 	}
 	verdict := judge.Observe(b.clock.now, &report)
 	answer, _ := json.Marshal(verdict)
-	b.Result.Bytes += len(answer)
+	b.Result.Bytes += len(answer) + answerEnvelope
 	return verdict
 }
 
--- a/health/healthbench/choosers.go
+++ b/health/healthbench/choosers.go
@@ -77,7 +77,7 @@
 		c.failures[index] = 0
 		c.until[index] = vm.bench.clock.now.Add(consecutiveTime)
 		name := vm.bench.service.Servers[index].Name
-		vm.bench.record([]health.Event{{Kind: timeline.KindPathAvoided, Server: name, Reason: "failures in a row"}})
+		vm.bench.record([]timeline.Event{{Kind: timeline.KindPathAvoided, Server: name, Reason: "failures in a row"}})
 	}
 }
 
--- a/health/healthbench/measure_test.go
+++ b/health/healthbench/measure_test.go
@@ -110,3 +110,24 @@
 		}
 	}
 }
+
+// TestMeasureBytes prints what the exchange costs on the network, without TCP and IP.
+func TestMeasureBytes(t *testing.T) {
+	if !*measure {
+		t.Skip("prints tables only, with -measure")
+	}
+	for _, pool := range Pools {
+		line := "| " + pool.Name + " |"
+		for _, errors := range []float64{0, 1} {
+			b := New(pool, health.PolicyFor(pool.Concern), ModeShared, 1)
+			b.Run(time.Minute)
+			b.Backends[3].Errors = errors
+			before := b.Result
+			b.Run(time.Minute)
+			each := float64(b.Result.Bytes-before.Bytes) / 60 / float64(pool.VMs)
+			probes := float64(b.Result.Probes-before.Probes) / 60 / float64(pool.Servers)
+			line += fmt.Sprintf(" %.0f | %.1f | %.2f |", each, each*float64(pool.VMs)/1000, probes)
+		}
+		fmt.Println(line)
+	}
+}
--- a/health/judge.go
+++ b/health/judge.go
@@ -24,13 +24,6 @@
 	Policy  Policy
 }
 
-// Event is a change of a server's state with its reason.
-type Event struct {
-	Kind   timeline.Kind
-	Server string
-	Reason string
-}
-
 // Judge decides which servers of one service are ejected, from the reports of
 // all VMs. It is not safe for concurrent use.
 type Judge struct {
@@ -45,7 +38,7 @@
 	zoneIndex map[string]int
 	reporters map[string]*reporter
 	servers   []*server
-	events    []Event
+	events    []timeline.Event
 }
 
 // server is the judge's state of one backend server.
@@ -114,7 +107,7 @@
 
 // Advance ends what is due and judges every server. It returns what changed
 // since the last call.
-func (j *Judge) Advance(now time.Time) []Event {
+func (j *Judge) Advance(now time.Time) []timeline.Event {
 	j.fleet.advance(now)
 	j.forgetReporters(now)
 	for i, s := range j.servers {
@@ -130,7 +123,7 @@
 }
 
 func (j *Judge) event(kind timeline.Kind, s *server, format string, values ...any) {
-	j.events = append(j.events, Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
+	j.events = append(j.events, timeline.Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
 }
 
 // expire ends ejections, slow starts and avoidances.
--- a/health/path.go
+++ b/health/path.go
@@ -47,5 +47,5 @@
 }
 
 func (v *View) event(kind timeline.Kind, s *viewed, format string, values ...any) {
-	v.events = append(v.events, Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
+	v.events = append(v.events, timeline.Event{Kind: kind, Server: s.Name, Reason: fmt.Sprintf(format, values...)})
 }
--- a/health/view.go
+++ b/health/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lacewingmount.dev/balance"
+	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
 
@@ -31,7 +32,7 @@
 	standings  []Standing
 	standingAt time.Time
 	dirty      bool
-	events     []Event
+	events     []timeline.Event
 }
 
 // verdictID orders the verdicts that a view takes over.
@@ -98,7 +99,7 @@
 
 // Advance counts stalled requests, judges the VM's own paths and returns what
 // changed since the last call.
-func (v *View) Advance(now time.Time) []Event {
+func (v *View) Advance(now time.Time) []timeline.Event {
 	v.countStalled(now)
 	v.judgePaths(now)
 	events := v.events
