--- a/balance/balance.go
+++ b/balance/balance.go
@@ -105,7 +105,7 @@
 
 // cost is what better compares: load and latency against the other's.
 func (c Candidate) cost(other Candidate) float64 {
-	cost := c.load() / c.Weight
+	cost := c.load()
 	if c.Latency > 0 && other.Latency > 0 {
 		cost *= max(1, c.Latency/other.Latency/latencyTolerance)
 	}
--- a/balance/connections.go
+++ b/balance/connections.go
@@ -9,7 +9,7 @@
 
 const (
 	// IdleConnections is the number of unused connections that a VM keeps to a server.
-	IdleConnections = 4
+	IdleConnections = 2
 
 	fewestInFlight = 2 // requests of one VM at one server; below that, VMs use a subset of the servers
 	fewestServers  = 3 // in a subset
--- a/entry/conn.go
+++ b/entry/conn.go
@@ -7,14 +7,15 @@
 	"sync"
 	"time"
 
+	"lacewingmount.dev/balance"
 	"lacewingmount.dev/sockets"
 )
 
 const (
 	dialTimeout   = 500 * time.Millisecond
-	maxIdleAge    = 20 * time.Second // an older idle connection is closed, not used
-	maxIdleConns  = 8                // to each backend server
-	maxIdleUnused = -1               // of net/http's own pool
+	maxIdleAge    = 20 * time.Second        // an older idle connection is closed, not used
+	maxIdleConns  = balance.IdleConnections // to each backend server
+	maxIdleUnused = -1                      // of net/http's own pool
 )
 
 // newTransport returns a transport to backend servers. net/http serves a single
