--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -13,8 +13,12 @@
 //	request METHOD URL [HEADER:VALUE ...] [-body TEXT]
 //	                     print status, headers and body to stdout
 //	get URL              print the body of an answer with status 200 to stdout
+//	background request ...
+//	                     send a request and do not wait for its answer
+//	retry RE request ... send a request until the printed answer matches RE
 //	put URL BODY         PUT JSON, for the control interfaces of stand-ins
 //	grant VAR ACCOUNT    grant a client key and keep it in $VAR
+//	uuid VAR ...         keep a new UUIDv7, as an Idempotency-Key, in each $VAR
 //	ctl ARGS             run lacewingctl with the script's platform and credential
 //	mark NAME            start a window in which requests at backend servers are counted
 //	within NAME RATE BURST
