--- a/entry/conn.go
+++ b/entry/conn.go
@@ -9,15 +9,16 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"lacewingmount.dev/balance"
 	"lacewingmount.dev/sockets"
 )
 
 const (
 	dialTimeout   = 500 * time.Millisecond
-	maxIdleAge    = 20 * time.Second // an older idle connection is closed, not used
-	maxIdleConns  = 8                // to each backend server
-	maxIdleUnused = -1               // of net/http's own pool
-	distrustTime  = 10 * time.Minute // without reuse after unrequested bytes
+	maxIdleAge    = 20 * time.Second        // an older idle connection is closed, not used
+	maxIdleConns  = balance.IdleConnections // to each backend server
+	maxIdleUnused = -1                      // of net/http's own pool
+	distrustTime  = 10 * time.Minute        // without reuse after unrequested bytes
 )
 
 // newTransport returns a transport to backend servers. net/http serves a single
