--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,7 +60,7 @@
 	e.held.Store(&wire.Snapshot{})
 	e.stages = []Stage{
 		routeStage{},
-		identifyStage{authority: e.authority, inFlight: e.inFlight, newest: e.table.Load},
+		e.identify(),
 		admitStage{admitter: NewStaticSplit(), now: time.Now},
 		claimStage{claimer: claimer},
 		newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -14,6 +14,10 @@
 	newest    func() *Table
 }
 
+func (e *Entry) identify() identifyStage {
+	return identifyStage{authority: e.authority, inFlight: e.inFlight, newest: e.table.Load}
+}
+
 func (identifyStage) Name() string { return "identify" }
 
 func (s identifyStage) Serve(x *Exchange) *Refusal {
