--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/limit"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/timeline"
@@ -23,6 +24,7 @@
 	Listen   string `yaml:"listen" validate:"hostname_port"` // calls from the entry and other agents
 	Admin    string `yaml:"admin" validate:"hostname_port"`
 	Platform string `yaml:"platform" validate:"http_url"`
+	Profile  bool   `yaml:"profile"` // serves runtime profiles on the admin address
 
 	// PeerAddresses replaces the address of some VMs in the platform's list,
 	// by VM name; for VMs that are reached through a network link of their own.
@@ -34,6 +36,17 @@
 	// Operators fixes the public key of a partner's operators, by partner. Without
 	// it the key in the first document that the VM sees is trusted.
 	Operators map[string]string `yaml:"operators" validate:"dive,hexadecimal,len=64"`
+
+	// ReclaimAfter is how long a VM must have been gone before others use its
+	// shares of the rates; 0 for limit.DefaultReclaimAfter.
+	ReclaimAfter daemon.Duration `yaml:"reclaim_after" validate:"min=0"`
+}
+
+func (s Settings) reclaimAfter() time.Duration {
+	if s.ReclaimAfter == 0 {
+		return limit.DefaultReclaimAfter
+	}
+	return s.ReclaimAfter.Std()
 }
 
 // member returns this VM as its peers are told of it.
@@ -51,6 +64,8 @@
 	started    time.Time
 	background context.Context // ends when the agent has stopped
 	end        context.CancelFunc
+	sharing    context.Context // ends when the shares of the rates are returned
+	endSharing context.CancelFunc
 	stopping   atomic.Bool
 	store      platform.Store
 	vms        platform.VMList
@@ -61,6 +76,8 @@
 	entry      entryReports
 	peers      *peers
 	claims     *claims
+	lending    *lending
+	shares     *shares
 }
 
 // New returns an agent that uses the given store and list of VMs.
@@ -69,16 +86,23 @@
 	peers := newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now)
 	peers.addSeeds(settings.Seeds)
 	background, end := context.WithCancel(context.Background())
-	return &Agent{
+	sharing, endSharing := context.WithCancel(background)
+	agent := &Agent{
 		settings: settings, log: log, events: events, admin: daemon.NewAdmin(events), now: time.Now, started: time.Now(),
-		background: background, end: end, store: store, vms: vms,
+		background: background, end: end, sharing: sharing, endSharing: endSharing, store: store, vms: vms,
 		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers, claims: newClaims(store),
 	}
+	agent.lending = newLending(agent.peers, agent.state, log, events)
+	agent.shares = newShares(agent)
+	return agent
 }
 
 // Run serves until ctx ends, then stops in order.
 func (a *Agent) Run(ctx context.Context) error {
 	defer a.end()
+	if a.settings.Profile {
+		a.admin.EnableProfiling()
+	}
 	if err := a.admin.Start(a.background, a.settings.Admin); err != nil {
 		return err
 	}
@@ -102,6 +126,8 @@
 	go a.exchangeWithPeers(a.background)
 	go a.recordWithdrawals(a.background)
 	go a.checkAuthority(a.background)
+	go a.lending.run(a.background)
+	go a.shares.run(a.sharing)
 }
 
 func (a *Agent) handlers() *wire.Handlers {
@@ -116,5 +142,7 @@
 	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
 	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
 	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
+	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
 	return handlers
 }
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -25,6 +25,8 @@
 	a.log.Info("stopping")
 	a.peers.leave(false)
 	a.awaitEntry()
+	a.endSharing()
+	a.shares.leave(a.background)
 	a.peers.leave(true)
 	a.farewell()
 	a.events.Add(timeline.Event{Kind: timeline.KindStopped})
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -164,6 +164,8 @@
 		return EndAnswered
 	case errors.Is(a.err, errShed):
 		return EndShed
+	case errors.Is(a.err, errNoToken):
+		return EndCancelled
 	case errors.Is(cause, errDeadline) || errors.Is(cause, errStalled):
 		return EndTimedOut
 	case cause != nil:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	Listen     string          `yaml:"listen" validate:"hostname_port"` // callers
 	Admin      string          `yaml:"admin" validate:"hostname_port"`
 	Agent      string          `yaml:"agent" validate:"hostname_port"`
+	Profile    bool            `yaml:"profile"`     // serves runtime profiles on the admin address
 	DrainDelay daemon.Duration `yaml:"drain_delay"` // between not ready and the last new connection
 }
 
@@ -61,9 +62,10 @@
 	e.stages = []Stage{
 		routeStage{},
 		e.identify(),
-		admitStage{admitter: NewStaticSplit(), now: time.Now},
+		admitStage{admitter: NewTokenCache(agent)},
 		claimStage{claimer: claimer},
-		newForwardStage(NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano())), claimer),
+		newQueueStage(claimer),
+		newForwardStage(shedPicker{NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano()))}, claimer),
 	}
 	return e
 }
@@ -72,6 +74,9 @@
 func (e *Entry) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if e.settings.Profile {
+		e.admin.EnableProfiling()
+	}
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
@@ -115,6 +120,7 @@
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { x.permit.release(); x.place.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -80,6 +80,9 @@
 		return s.finish(x, notRun(http.StatusServiceUnavailable, ReasonNoServer, "no backend server can take the request").after(time.Second))
 	}
 	defer last.close()
+	if errors.Is(last.err, errNoToken) {
+		return s.finish(x, x.permit.refusal(x.Account))
+	}
 	if last.err != nil {
 		return s.finish(x, refusalFor(last, body, d.sent))
 	}
