Scenarios: keys withdrawn in an outage, an isolated VM, revisions by exchange, shutdown of entry and VM

Found by the first of them: a VM started during an outage trusted its document before it knew the withdrawals of its peers, and served a withdrawn key once (status 200 where 401 was due). It now waits for both; the scenario passes. Chunks that no revision needs any more are removed by the operator who replaced them.

--- a/agent/authority.go
+++ b/agent/authority.go
@@ -107,8 +107,8 @@
 	if digest.StoreAge > 0 && own.Revision >= digest.Revision && own.Withdrawals == digest.Withdrawals && own.Revision > 0 {
 		a.confirmStore(sent.Add(-time.Duration(digest.StoreAge) * time.Millisecond))
 	}
-	if !digest.Booted || own.Booted {
-		return
+	if !digest.Booted || own.Booted || own.Withdrawals != digest.Withdrawals {
+		return // its withdrawals must be known too before this VM trusts what it has
 	}
 	if a.learnBoot(peer, digest.Revision) && a.hearsPeers() {
 		a.state.setTrusted()
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -40,8 +40,8 @@
 		return
 	}
 	a.peers.answered(probe, answer.Members)
-	a.syncWithdrawals(ctx, probe.To, answer.Config)
 	a.pull(ctx, probe.To, answer.Config)
+	a.syncWithdrawals(ctx, probe.To, answer.Config)
 	a.learnDigest(sent, answer.Members.From.Name, answer.Config)
 }
 
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -134,11 +134,34 @@
 			return err
 		}
 	}
+	unused := unusedChunks(ctx, store, present, stored.Chunks)
 	_, err = store.CompareAndSwap(ctx, config.RootKey, stored.Root, current.version, 0)
-	if errs.KindOf(err) != errs.Ambiguous {
+	if errs.KindOf(err) == errs.Ambiguous {
+		err = c.resolve(ctx, store, err)
+	}
+	if err != nil {
 		return err
 	}
-	return c.resolve(ctx, store, err)
+	for key, version := range unused {
+		_ = store.Delete(ctx, key, version) // one that stays costs room only
+	}
+	return nil
+}
+
+// unusedChunks returns the store keys and versions of the chunks that only the
+// present document needs. An operator who needs one again writes it anew, so that
+// its version is another one by then.
+func unusedChunks(ctx context.Context, store platform.Store, present, next map[string][]byte) map[string]platform.Version {
+	unused := map[string]platform.Version{}
+	for hash := range present {
+		if _, used := next[hash]; used {
+			continue
+		}
+		if entry, err := store.Get(ctx, config.ChunkPrefix+hash); err == nil {
+			unused[entry.Key] = entry.Version
+		}
+	}
+	return unused
 }
 
 // resolve finds out whether a write whose answer was lost took effect. As long as
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -49,6 +49,7 @@
 			"request":    cmdRequest,
 			"put":        cmdPut,
 			"grant":      cmdGrant,
+			"uuid":       cmdUUID,
 			"ctl":        cmdCtl,
 			"expand":     cmdExpand,
 			"mark":       cmdMark,
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -22,6 +22,7 @@
 // PlatformFaults are the faults of the store; they can be changed while it runs.
 type PlatformFaults struct {
 	Down        bool          `json:"down"`         // every call is refused
+	StoreDown   bool          `json:"store_down"`   // every call but that for the list of VMs is refused
 	Delay       time.Duration `json:"delay"`        // before each answer, nanoseconds
 	LoseWrites  int           `json:"lose_writes"`  // the next N writes take effect without an answer
 	LapseLeases bool          `json:"lapse_leases"` // once, when set
@@ -113,11 +114,11 @@
 		}
 		faults := p.begin(path)
 		time.Sleep(faults.Delay)
-		if faults.Down {
+		if faults.Down || faults.StoreDown && path != platform.PathVMs {
 			panic(http.ErrAbortHandler)
 		}
 		response, err := answer(c.Request().Context(), question)
-		if p.loses(path) || p.down() {
+		if p.loses(path) || p.down(path) {
 			panic(http.ErrAbortHandler)
 		}
 		if err != nil {
@@ -143,10 +144,10 @@
 	return p.faults
 }
 
-func (p *Platform) down() bool {
+func (p *Platform) down(path string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faults.Down
+	return p.faults.Down || p.faults.StoreDown && path != platform.PathVMs
 }
 
 // loses reports whether the answer to this write is to be lost.
