--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,6 +67,7 @@
 	sharing    context.Context // ends when the shares of the rates are returned
 	endSharing context.CancelFunc
 	stopping   atomic.Bool
+	listKnown  atomic.Bool // the platform's list was had since the start
 	store      platform.Store
 	vms        platform.VMList
 	state      *state
--- /dev/null
+++ b/agent/fleet_test.go
@@ -0,0 +1,304 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingmount.dev/config"
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/keys"
+	"lacewingmount.dev/platform"
+	"lacewingmount.dev/wire"
+)
+
+const convergence = 5 * time.Second // the stated bound for "within seconds"
+
+// fleet is a number of agents in virtual time, with pipes in place of sockets.
+type fleet struct {
+	t         *testing.T
+	operator  keys.Operator
+	memory    *platform.Memory
+	mu        sync.Mutex
+	agents    []*Agent
+	listeners map[string]*pipeListener
+	conns     []net.Conn
+	cut       func(from, to string) bool // messages from one VM to another are lost
+	cutStore  func(vm string) bool
+	calls     map[string][]time.Time // to the store, by kind
+}
+
+// inFleet runs test with n agents that have revision 1, in virtual time.
+func inFleet(t *testing.T, n int, test func(*fleet)) {
+	operator, err := keys.NewOperator("test-operator")
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{
+			t: t, operator: operator, memory: platform.NewMemory(time.Now), listeners: map[string]*pipeListener{},
+			cut: func(string, string) bool { return false }, cutStore: func(string) bool { return false },
+			calls: map[string][]time.Time{},
+		}
+		var vms []platform.VM
+		for i := range n {
+			vms = append(vms, platform.VM{Name: vmName(i), Zone: "a", Address: vmName(i)})
+		}
+		f.memory.SetVMs(vms)
+		f.apply(1)
+		for i := range n {
+			f.start(i)
+		}
+		defer f.stop()
+		time.Sleep(convergence)
+		f.await(func(a *Agent) bool { return f.revision(a) == 1 && a.keysFor() > 0 })
+		test(f)
+	})
+}
+
+func vmName(i int) string { return fmt.Sprintf("vm-%02d", i) }
+
+func (f *fleet) start(i int) *Agent {
+	name := vmName(i)
+	agent := New(Settings{VM: name, Zone: "a", Listen: name}, zap.NewNop(), &fleetStore{f, name}, &fleetStore{f, name})
+	agent.peers.dial = func(ctx context.Context, address string) (net.Conn, error) { return f.dial(ctx, name, address) }
+	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	f.mu.Lock()
+	f.listeners[name] = listener
+	if i < len(f.agents) {
+		f.agents[i] = agent
+	} else {
+		f.agents = append(f.agents, agent)
+	}
+	f.mu.Unlock()
+	agent.start(listener)
+	return agent
+}
+
+func (f *fleet) kill(i int) {
+	f.agents[i].end()
+	_ = f.listeners[vmName(i)].Close()
+}
+
+func (f *fleet) stop() {
+	for i := range f.agents {
+		f.kill(i)
+	}
+	f.mu.Lock()
+	for _, conn := range f.conns {
+		_ = conn.Close()
+	}
+	f.mu.Unlock()
+	synctest.Wait()
+}
+
+// section returns the section of the given revision; its account's rate is the revision.
+func (f *fleet) document(revision uint64) config.Stored {
+	section := config.Section{
+		Partner: "test", Operator: f.operator.Public(), Revision: revision,
+		Services: []config.Service{{Name: "shelf", Floor: 1, Slots: 6, Connections: 400, Concern: config.ConcernDetectionTime,
+			Servers: []config.BackendServer{{Name: "shelf-1", Address: "10.0.0.1:9000", Zone: "a"}}}},
+		Routes:   []config.Route{{Path: "/shelf", Methods: []string{"GET"}, Service: "shelf", Timeout: time.Second}},
+		Accounts: []config.ClientAccount{{Name: "reader", Rate: float64(revision), Burst: 1}},
+		Keys:     []config.Key{{Account: "reader", Hash: "key-hash"}},
+	}
+	if err := section.Seal(f.operator); err != nil {
+		f.t.Fatal(err)
+	}
+	document := config.Document{Revision: revision, Sections: []config.Section{section}, Changes: []config.Change{{Revision: revision, ID: fmt.Sprint("change-", revision)}}}
+	stored, err := document.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return stored
+}
+
+// apply writes the given revision to the store.
+func (f *fleet) apply(revision uint64) {
+	present, _ := f.memory.Get(context.Background(), config.RootKey)
+	if _, err := f.memory.CompareAndSwap(context.Background(), config.RootKey, f.document(revision).Root, present.Version, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) revision(a *Agent) uint64 {
+	document, _ := a.state.held()
+	if document == nil {
+		return 0
+	}
+	return document.Revision
+}
+
+// failing returns the VMs for which the condition does not hold.
+func (f *fleet) failing(condition func(*Agent) bool) []string {
+	var names []string
+	for _, agent := range f.agents {
+		if !condition(agent) {
+			names = append(names, agent.settings.VM)
+		}
+	}
+	return names
+}
+
+func (f *fleet) await(condition func(*Agent) bool) {
+	f.t.Helper()
+	for range 100 {
+		if len(f.failing(condition)) == 0 {
+			return
+		}
+		time.Sleep(convergence / 50)
+	}
+	f.t.Fatalf("not met on %v", f.failing(condition))
+}
+
+// dial connects two VMs unless the path is cut in either direction.
+func (f *fleet) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	f.mu.Lock()
+	listener, cut := f.listeners[to], f.cut(from, to) || f.cut(to, from)
+	f.mu.Unlock()
+	if cut || listener == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.accepted <- &fleetConn{Conn: far, fleet: f, from: to, to: from}:
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	f.mu.Lock()
+	f.conns = append(f.conns, near, far)
+	f.mu.Unlock()
+	return &fleetConn{Conn: near, fleet: f, from: from, to: to}, nil
+}
+
+// fleetConn swallows what is written while its direction is cut.
+type fleetConn struct {
+	net.Conn
+	fleet    *fleet
+	from, to string
+}
+
+func (c *fleetConn) Write(p []byte) (int, error) {
+	c.fleet.mu.Lock()
+	cut := c.fleet.cut(c.from, c.to)
+	c.fleet.mu.Unlock()
+	if cut {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+// fleetStore is the platform as one VM reaches it.
+type fleetStore struct {
+	fleet *fleet
+	vm    string
+}
+
+func (s *fleetStore) reach(kind string) error {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.calls[kind] = append(s.fleet.calls[kind], time.Now())
+	if s.fleet.cutStore(s.vm) {
+		return errs.New(errs.Unavailable, "the store is out of reach", "wait")
+	}
+	return nil
+}
+
+func (s *fleetStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.reach("get " + key); err != nil {
+		return platform.Entry{}, err
+	}
+	return s.fleet.memory.Get(ctx, key)
+}
+
+func (s *fleetStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if err := s.reach("list"); err != nil {
+		return nil, err
+	}
+	return s.fleet.memory.List(ctx, prefix)
+}
+
+func (s *fleetStore) CompareAndSwap(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	if err := s.reach("swap " + key); err != nil {
+		return 0, err
+	}
+	return s.fleet.memory.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
+func (s *fleetStore) Delete(ctx context.Context, key string, expect platform.Version) error {
+	if err := s.reach("delete"); err != nil {
+		return err
+	}
+	return s.fleet.memory.Delete(ctx, key, expect)
+}
+
+func (s *fleetStore) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Entry, error) {
+	if err := s.reach("watch"); err != nil {
+		return nil, err
+	}
+	entries, err := s.fleet.memory.Watch(ctx, prefix, after, wait)
+	if lost := s.reach("watch answer"); lost != nil {
+		return nil, lost
+	}
+	return entries, err
+}
+
+func (s *fleetStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := s.reach("grant lease"); err != nil {
+		return 0, err
+	}
+	return s.fleet.memory.GrantLease(ctx, ttl)
+}
+
+func (s *fleetStore) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+	if err := s.reach("renew lease"); err != nil {
+		return err
+	}
+	return s.fleet.memory.RenewLease(ctx, lease)
+}
+
+func (s *fleetStore) VMs(ctx context.Context) ([]platform.VM, error) {
+	if err := s.reach("vms"); err != nil {
+		return nil, err
+	}
+	return s.fleet.memory.VMs(ctx)
+}
+
+// tell tells one VM of a withdrawn key.
+func (f *fleet) tell(i int, withdrawal config.Withdrawal) {
+	f.t.Helper()
+	if _, err := f.agents[i].withdraw(context.Background(), wire.Withdrawals{Withdrawals: []config.Withdrawal{withdrawal}}); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -43,6 +43,10 @@
 func (a *Agent) followStore(ctx context.Context) {
 	f := follower{agent: a, delay: retryFirst}
 	for ctx.Err() == nil {
+		if !a.listKnown.Load() && a.since(a.started) < staleAfter {
+			pause(ctx, jitter(retryFirst)) // who watches is not known yet
+			continue
+		}
 		if !a.asksStore() {
 			pause(ctx, jitter(membership.Period))
 			continue
@@ -148,6 +152,9 @@
 		if err == nil && a.peers.update(vms) {
 			a.membersChanged()
 		}
+		if err == nil {
+			a.listKnown.Store(true)
+		}
 		period := listPeriod
 		if err == nil && !a.watches() {
 			period = listPeriodOther
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -16,6 +16,7 @@
 	self    string
 	routes  map[string]string // addresses that replace the list's, by VM name
 	clock   *timeline.Clock
+	dial    wire.Dial
 	now     func() time.Time
 	mu      sync.Mutex
 	view    *membership.View
@@ -34,7 +35,7 @@
 	started := now()
 	self.Incarnation = uint64(started.UnixMilli())
 	return &peers{
-		self: self.Name, routes: routes, clock: clock, now: now,
+		self: self.Name, routes: routes, clock: clock, dial: wire.DialTCP, now: now,
 		view:    membership.NewView(self, uint64(started.UnixNano())),
 		clients: map[string]*peerClient{},
 	}
@@ -118,7 +119,7 @@
 	defer p.mu.Unlock()
 	known := p.clients[member.Address]
 	if known == nil {
-		known = &peerClient{client: wire.NewClient(member.Address, p.clock)}
+		known = &peerClient{client: wire.NewClientVia(p.dial, member.Address, p.clock)}
 		p.clients[member.Address] = known
 	}
 	known.used = p.now()
--- a/agent/withdraw.go
+++ b/agent/withdraw.go
@@ -60,14 +60,20 @@
 	}
 }
 
-const recordPeriod = time.Second
+const (
+	recordPeriod = time.Second
+	// recordAfter is how long a withdrawal waits for the operator who told of it to
+	// write it to the store.
+	recordAfter = 3 * time.Second
+)
 
 // recordWithdrawals writes withdrawals that were told to agents to the store,
 // from one VM at a time, until ctx ends.
 func (a *Agent) recordWithdrawals(ctx context.Context) {
+	since := map[string]time.Time{} // first seen, by hash
 	for ctx.Err() == nil {
 		pause(ctx, jitter(recordPeriod))
-		_, pending := a.state.held()
+		pending := a.overdue(since)
 		_, responsible, ok := a.peers.home("withdrawals")
 		if len(pending) == 0 || !ok || !responsible || a.storeAge() > staleAfter {
 			continue
@@ -78,6 +84,25 @@
 	}
 }
 
+// overdue returns the withdrawals that are not in the document recordAfter after
+// they were first seen, and keeps since up to date.
+func (a *Agent) overdue(since map[string]time.Time) []config.Withdrawal {
+	_, pending := a.state.held()
+	if len(pending) == 0 {
+		clear(since)
+	}
+	var overdue []config.Withdrawal
+	for _, withdrawal := range pending {
+		first, seen := since[withdrawal.Hash]
+		if !seen {
+			since[withdrawal.Hash] = a.now()
+		} else if a.since(first) >= recordAfter {
+			overdue = append(overdue, withdrawal)
+		}
+	}
+	return overdue
+}
+
 // record adds the withdrawals to the document in the store. If another writer
 // was faster, or an answer was lost, the next round finds out.
 func (a *Agent) record(ctx context.Context, pending []config.Withdrawal) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 		authority: &authority{}, inFlight: newInFlight(), callers: newCallers(), reportSoon: make(chan struct{}, 1),
 	}
 	e.held.Store(&wire.Snapshot{})
+	metrics.GetOrCreateGauge("lacewing_in_flight_requests", func() float64 { return float64(e.inFlight.count()) })
 	e.stages = []Stage{
 		routeStage{},
 		e.identify(),
--- /dev/null
+++ b/entry/main_test.go
@@ -0,0 +1,16 @@
+package entry
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"net/url"
 	"strings"
 )
 
@@ -48,3 +49,43 @@
 		}
 	}
 }
+
+// minSearched is the length in bytes from which a shown key is looked for elsewhere.
+const minSearched = 16
+
+// Elsewhere reports whether a key that the request shows also appears in its
+// target or in another header, where it would reach the backend server.
+func Elsewhere(request *http.Request) bool {
+	for name, values := range request.Header {
+		if !strings.EqualFold(name, Header) {
+			continue
+		}
+		for _, key := range values {
+			if len(key) >= minSearched && appears(request, key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func appears(request *http.Request, key string) bool {
+	target := request.URL.RequestURI()
+	if decoded, err := url.QueryUnescape(target); err == nil && strings.Contains(decoded, key) {
+		return true
+	}
+	if strings.Contains(target, key) {
+		return true
+	}
+	for name, values := range request.Header {
+		if strings.Contains(name, key) {
+			return true
+		}
+		for _, value := range values {
+			if !strings.EqualFold(name, Header) && strings.Contains(value, key) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 type Client struct {
 	address string
 	clock   *timeline.Clock
+	dial    Dial
+	dialing chan struct{} // holds one item while a call connects
 	mu      sync.Mutex
 	link    *link // for new calls; nil until the first one
 }
@@ -32,9 +35,22 @@
 	retired bool // no new calls; closed after the last one
 }
 
+// Dial connects to the process at address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP connects over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+}
+
 // NewClient returns a client of the process at address; it connects on first use.
 func NewClient(address string, clock *timeline.Clock) *Client {
-	return &Client{address: address, clock: clock}
+	return NewClientVia(DialTCP, address, clock)
+}
+
+// NewClientVia is NewClient with another way to connect.
+func NewClientVia(dial Dial, address string, clock *timeline.Clock) *Client {
+	return &Client{address: address, clock: clock, dial: dial, dialing: make(chan struct{}, 1)}
 }
 
 // Call sends question and decodes the answer into answer. It fails with kind
@@ -73,21 +89,41 @@
 	}
 }
 
-// acquire returns the link for a new call, connecting if there is none.
+// acquire returns the link for a new call. One call connects if there is none;
+// others wait for it no longer than their own ctx.
 func (c *Client) acquire(ctx context.Context) (*link, error) {
+	if used := c.use(); used != nil {
+		return used, nil
+	}
+	select {
+	case c.dialing <- struct{}{}:
+		defer func() { <-c.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if used := c.use(); used != nil {
+		return used, nil
+	}
+	socket, err := c.dial(ctx, c.address)
+	if err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link == nil {
-		socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
-		if err != nil {
-			return nil, err
-		}
-		c.link = &link{conn: newConn(context.Background(), socket, ignoreCalls)}
-	}
-	c.link.calls++
+	c.link = &link{conn: newConn(context.Background(), socket, ignoreCalls), calls: 1}
 	return c.link, nil
 }
 
+// use counts a call on the present link; it returns nil if there is none.
+func (c *Client) use() *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.calls++
+	}
+	return c.link
+}
+
 // ignoreCalls answers nothing: calls only go from clients to servers.
 var ignoreCalls = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, nil
