--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,6 +79,7 @@
 	claims     *claims
 	lending    *lending
 	shares     *shares
+	judges     *judges
 }
 
 // New returns an agent that uses the given store and list of VMs.
@@ -91,8 +92,10 @@
 	agent := &Agent{
 		settings: settings, log: log, events: events, admin: daemon.NewAdmin(events), now: time.Now, started: time.Now(),
 		background: background, end: end, sharing: sharing, endSharing: endSharing, store: store, vms: vms,
-		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers, claims: newClaims(store),
+		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers,
+		claims: newClaims(settings.VM, store, peers, events, log),
 	}
+	agent.judges = newJudges(settings.VM, agent.peers, agent.state, log, events)
 	agent.lending = newLending(agent.peers, agent.state, log, events)
 	agent.shares = newShares(agent)
 	return agent
@@ -104,6 +107,7 @@
 	if a.settings.Profile {
 		a.admin.EnableProfiling()
 	}
+	a.admin.Router().GET("/claims", a.claims.serveStatus)
 	if err := a.admin.Start(a.background, a.settings.Admin); err != nil {
 		return err
 	}
@@ -129,6 +133,7 @@
 	go a.checkAuthority(a.background)
 	go a.lending.run(a.background)
 	go a.shares.run(a.sharing)
+	go a.judges.run(a.background)
 }
 
 func (a *Agent) handlers() *wire.Handlers {
@@ -141,9 +146,11 @@
 	wire.Handle(handlers, wire.MethodDocument, a.document)
 	wire.Handle(handlers, wire.MethodChunks, a.chunks)
 	wire.Handle(handlers, wire.MethodWithdraw, a.withdraw)
-	wire.Handle(handlers, wire.MethodClaim, a.claims.claim)
-	wire.Handle(handlers, wire.MethodSettle, a.claims.settle)
+	wire.Handle(handlers, wire.MethodHealth, a.judges.report)
+	wire.Handle(handlers, wire.MethodJudge, a.judges.observe)
+	a.claims.handle(handlers)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
 	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
+	wire.Handle(handlers, wire.MethodInherit, a.shares.inherit)
 	return handlers
 }
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -171,6 +171,18 @@
 	p.view.Missed(p.now(), probe)
 }
 
+// member returns a member by name, also one that is leaving.
+func (p *peers) member(name string) (membership.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, member := range p.view.Members(p.now()) {
+		if member.Name == name {
+			return p.routed(member), true
+		}
+	}
+	return membership.Member{}, false
+}
+
 // among reports whether this VM is one of the n in service that weigh most for key.
 func (p *peers) among(n int, key string) bool {
 	return membership.Among(p.inService(), key, p.self, n)
@@ -197,15 +209,3 @@
 	defer p.mu.Unlock()
 	p.view.AddSeeds(addresses)
 }
-
-// member returns a member by name, also one that is leaving.
-func (p *peers) member(name string) (membership.Member, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, member := range p.view.Members(p.now()) {
-		if member.Name == name {
-			return p.routed(member), true
-		}
-	}
-	return membership.Member{}, false
-}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lacewingmount.dev/health/probe"
 )
 
 const (
@@ -154,6 +156,9 @@
 	if observed.End == EndAnswered {
 		observed.Status = a.answer.StatusCode
 	}
+	if a.answer != nil {
+		observed.Draining = probe.Draining(a.answer.Header)
+	}
 	return observed
 }
 
--- a/entry/backend_test.go
+++ b/entry/backend_test.go
@@ -238,7 +238,7 @@
 	e := New(Settings{VM: "vm", Zone: "a", Agent: "127.0.0.1:1"}, zap.NewNop())
 	b.stage = newForwardStage(b.picker, b.claimer)
 	e.authority.extend(time.Now(), time.Hour)
-	e.stages = []Stage{routeStage{}, e.identify(), claimStage{claimer: b.claimer}, b.stage}
+	e.stages = []Stage{e.stages[0], e.stages[1], claimStage{claimer: b.claimer}, b.stage}
 	e.table.Store(newTable(wire.Snapshot{Document: benchDocument(addresses)}, nil))
 	b.entry = e
 	b.Server = httptest.NewUnstartedServer(e)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/daemon"
@@ -36,6 +37,7 @@
 	admin    *daemon.Admin
 	held     atomic.Pointer[wire.Snapshot] // in force
 	table    atomic.Pointer[Table]         // compiled from held
+	servers  *serverPicker
 	stages   []Stage
 	served   *metrics.Counter
 	duration *metrics.Histogram
@@ -52,8 +54,9 @@
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
 	agent := wire.NewClient(settings.Agent, events.Clock())
 	claimer := NewAgentClaimer(agent)
+	servers := newServerPicker(settings, agent, events, log)
 	e := &Entry{
-		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events),
+		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers,
 		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
 		authority: &authority{}, inFlight: newInFlight(), callers: newCallers(), reportSoon: make(chan struct{}, 1),
@@ -66,7 +69,7 @@
 		admitStage{admitter: NewTokenCache(agent)},
 		claimStage{claimer: claimer},
 		newQueueStage(claimer),
-		newForwardStage(shedPicker{NewRandomPicker(settings.Zone, uint64(time.Now().UnixNano()))}, claimer),
+		newForwardStage(shedPicker{servers}, claimer),
 	}
 	return e
 }
@@ -78,6 +81,7 @@
 	if e.settings.Profile {
 		e.admin.EnableProfiling()
 	}
+	e.admin.Router().GET("/servers", func(c echo.Context) error { return c.JSON(http.StatusOK, e.servers.status()) })
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
@@ -90,6 +94,7 @@
 	go e.followSnapshots(background)
 	go e.reportToAgent(background)
 	go e.watchAuthority(background)
+	go e.servers.run(background)
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	e.log.Info("started", zap.String("listen", e.settings.Listen))
 	<-ctx.Done()
--- a/wire/client.go
+++ b/wire/client.go
@@ -118,12 +118,23 @@
 func (c *Client) use() *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link != nil {
-		c.link.calls++
+	if c.link == nil || closed(c.link.conn) {
+		return nil
 	}
+	c.link.calls++
 	return c.link
 }
 
+// closed reports whether the other process has closed the connection.
+func closed(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // ignoreCalls answers nothing: calls only go from clients to servers.
 var ignoreCalls = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, nil
