--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -105,7 +105,7 @@
 func runCtl(ts *testscript.TestScript, args ...string) error {
 	ts.Setenv("LACEWING_CREDENTIAL", ts.Getenv("CREDENTIAL"))
 	switch args[0] {
-	case "apply", "diff", "key", "status":
+	case "apply", "diff", "key", "status", "credential", "timeline":
 		args = append(args, "--platform", "http://"+ts.Getenv("NET")+".0.1:7000")
 	}
 	return ts.Exec(filepath.Join(binaries, "lacewingctl"), args...)
