--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,7 +64,10 @@
 	started    time.Time
 	background context.Context // ends when the agent has stopped
 	end        context.CancelFunc
+	sharing    context.Context // ends when the shares of the rates are returned
+	endSharing context.CancelFunc
 	stopping   atomic.Bool
+	listKnown  atomic.Bool // the platform's list was had since the start
 	store      platform.Store
 	vms        platform.VMList
 	state      *state
@@ -85,9 +88,10 @@
 	peers := newPeers(settings.member(), settings.PeerAddresses, events.Clock(), time.Now)
 	peers.addSeeds(settings.Seeds)
 	background, end := context.WithCancel(context.Background())
+	sharing, endSharing := context.WithCancel(background)
 	agent := &Agent{
 		settings: settings, log: log, events: events, admin: daemon.NewAdmin(events), now: time.Now, started: time.Now(),
-		background: background, end: end, store: store, vms: vms,
+		background: background, end: end, sharing: sharing, endSharing: endSharing, store: store, vms: vms,
 		state: newState(peers.incarnation()), authority: newAuthority(), peers: peers,
 		claims: newClaims(settings.VM, store, peers, events, log),
 	}
@@ -112,7 +116,6 @@
 		return err
 	}
 	a.start(listener)
-	go a.shares.run(ctx)
 	a.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	a.log.Info("started", zap.String("listen", a.settings.Listen))
 	<-ctx.Done()
@@ -129,6 +132,7 @@
 	go a.recordWithdrawals(a.background)
 	go a.checkAuthority(a.background)
 	go a.lending.run(a.background)
+	go a.shares.run(a.sharing)
 	go a.judges.run(a.background)
 }
 
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -26,6 +26,7 @@
 	a.peers.leave(false)
 	a.awaitEntry()
 	a.claims.shutdown()
+	a.endSharing()
 	a.shares.leave(a.background)
 	a.peers.leave(true)
 	a.farewell()
