--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,4 +22,4 @@
   [ -z "$names" ] || skip=(-skip "^($names)\$")
 fi
 # shellcheck disable=SC2086
-go test -count=1 "${skip[@]}" $packages
+go test -count=1 -timeout 240s "${skip[@]}" $packages
