--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,7 +32,7 @@
 mkdir -p run
 status=0
 # shellcheck disable=SC2086
-go test -count=1 -v "${skip[@]}" $packages >run/test.log 2>&1 || status=$?
+go test -count=1 -timeout 240s -v "${skip[@]}" $packages >run/test.log 2>&1 || status=$?
 # Prints the line of each package, after its whole output if it failed.
 awk '
   /^=== (RUN|PAUSE|CONT|NAME)/ {next}
