--- a/agent/stop.go
+++ b/agent/stop.go
@@ -25,6 +25,7 @@
 	a.log.Info("stopping")
 	a.peers.leave(false)
 	a.awaitEntry()
+	a.claims.shutdown()
 	a.shares.leave(a.background)
 	a.peers.leave(true)
 	a.farewell()
--- a/wire/client.go
+++ b/wire/client.go
@@ -77,7 +77,7 @@
 func (c *Client) acquire(ctx context.Context) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link == nil {
+	if c.link == nil || closed(c.link.conn) {
 		socket, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", c.address)
 		if err != nil {
 			return nil, err
@@ -88,6 +88,16 @@
 	return c.link, nil
 }
 
+// closed reports whether the other process has closed the connection.
+func closed(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // ignoreCalls answers nothing: calls only go from clients to servers.
 var ignoreCalls = jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, nil
