--- a/capacity/estimate.go
+++ b/capacity/estimate.go
@@ -50,7 +50,9 @@
 const callOverheadBytes = 168
 
 // localMethods are called by a VM's own entry, so their bytes stay on the VM.
-var localMethods = []string{"agent.snapshot", "agent.claim", "agent.settle", "agent.admit", "agent.observe"}
+var localMethods = []string{
+	"agent.snapshot", "agent.claim", "agent.settle", "agent.health", "agent.report", "agent.hand-back", "agent.tokens",
+}
 
 // writePaths are the store calls that count as writes.
 var writePaths = []string{"/v1/compare-and-swap", "/v1/delete", "/v1/lease/grant", "/v1/lease/renew"}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -70,7 +70,6 @@
     start "entry-$i" lacewing-entry "$run/entry-$i.yaml"
     entries+=($!)
   done
-  for i in $(seq "$1"); do await "http://$net.100.$i:8001/readyz"; done
 }
 
 grant() { # grant ACCOUNT
@@ -136,9 +135,10 @@
   start_agents "$vms"
   questionnaire "$4" "$5" "$6" "$most" >"$run/questionnaire.yaml"
   bin/lacewingctl generate "$run/questionnaire.yaml" -o "$run/section.yaml"
-  bin/lacewingctl apply --platform "http://$platform" --wait 20s "$run/section.yaml" >/dev/null
   start_backends
   start_entries "$vms"
+  bin/lacewingctl apply --platform "http://$platform" --wait 30s "$run/section.yaml" >/dev/null
+  for i in $(seq "$vms"); do await "http://$net.100.$i:8001/readyz"; done
   for _ in $(seq "$keys"); do key=$(grant account-1); done
   case "$series" in
     active) for i in $(seq "$size"); do mixes+=("{account: account-$i, key: $(grant "account-$i"), method: GET, path: /service-1, rate: 8, size: 500}"); done ;;
