--- a/capacity/estimate.go
+++ b/capacity/estimate.go
@@ -13,7 +13,7 @@
 	CPUShare     float64 // of one core, for an agent
 	MemoryBytes  float64 // of an agent
 	TrafficBytes float64 // a second, both directions, of an agent
-	StoreReads   float64 // a second, waiting watches counted as one each
+	StoreReads   float64 // a second, each watch counted as one
 	StoreWrites  float64 // a second
 	StoreValue   float64 // bytes of the largest value
 }
@@ -77,10 +77,9 @@
 	return append(rows, messageRows(slopes, size)...)
 }
 
-// storeCalls returns one VM's reads and writes a second. Each agent keeps one
-// watch waiting, which counts as a read.
+// storeCalls returns one VM's reads and writes a second; a watch counts as one
+// read however long it waits.
 func storeCalls(slopes Slopes, size Size) (reads, writes float64) {
-	reads = 1
 	for measure := range slopes.Measures {
 		path, ok := strings.CutPrefix(measure, prefixStoreCalls)
 		if !ok {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -15,8 +15,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 net=${LACEWING_NET:-127.79}
-settle=3 # seconds before a measurement
-window=5 # seconds of a measurement
+settle=2 # seconds before a measurement
+window=4 # seconds of a measurement
 run=run/slopes
 source scripts/lib.sh
 trap stop_all EXIT
@@ -102,9 +102,10 @@
 
 # measure SERIES SIZE COMMAND...: runs the command during the window.
 measure() {
-  local series=$1 size=$2 agent entry started elapsed load
+  local series=$1 size=$2 agent entry started elapsed load counted span
   shift 2
   sleep "$settle"
+  counted=${EPOCHREALTIME/./}
   counters >"$run/before"
   agent=$(cpu_us "${agents[@]}") entry=$(cpu_us "${entries[@]}")
   started=${EPOCHREALTIME/./}
@@ -114,6 +115,8 @@
   wait "$load"
   agent=$(($(cpu_us "${agents[@]}") - agent)) entry=$(($(cpu_us "${entries[@]}") - entry))
   elapsed=$((${EPOCHREALTIME/./} - started)) # microseconds
+  # Both rounds reach an agent after the same delay, so its counters span this.
+  span=$((${EPOCHREALTIME/./} - counted)) # microseconds
   counters >"$run/after"
   {
     echo "agent_cpu_us $((agent * 1000000 / elapsed))"
@@ -121,7 +124,7 @@
     for pid in "${agents[@]}"; do echo "agent_rss_kb $(resident_kb "$pid")"; done
     for pid in "${entries[@]}"; do echo "entry_rss_kb $(resident_kb "$pid")"; done
     config_sizes | awk -v n="${#agents[@]}" '{print $1, $2 * n}'
-    awk -v w="$elapsed" 'NR == FNR {was[$1] += $2; next} {now[$1] += $2} END {for (n in now) print n, (now[n] - was[n]) * 1000000 / w}' "$run/before" "$run/after"
+    awk -v w="$span" 'NR == FNR {was[$1] += $2; next} {now[$1] += $2} END {for (n in now) print n, (now[n] - was[n]) * 1000000 / w}' "$run/before" "$run/after"
   } | awk -v n="${#agents[@]}" -v s="$series" -v x="$size" '{sum[$1] += $2} END {for (m in sum) printf "%s\t%s\t%s\t%.2f\n", s, x, m, sum[m] / n}' | sort
 }
 
