--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,6 +39,7 @@
 	servers  *serverPicker
 	stages   []Stage
 	served   *metrics.Counter
+	refused  refusalCounters
 	duration *metrics.Histogram
 
 	authority  *authority
@@ -62,9 +62,10 @@
 		authority: &authority{}, inFlight: newInFlight(), callers: newCallers(), reportSoon: make(chan struct{}, 1),
 	}
 	e.held.Store(&wire.Snapshot{})
+	metrics.GetOrCreateGauge("lacewing_in_flight_requests", func() float64 { return float64(e.inFlight.count()) })
 	e.stages = []Stage{
 		routeStage{},
-		identifyStage{authority: e.authority, inFlight: e.inFlight, newest: e.table.Load},
+		e.identify(),
 		admitStage{admitter: NewTokenCache(agent)},
 		claimStage{claimer: claimer},
 		newQueueStage(claimer),
@@ -120,12 +121,12 @@
 	e.served.Inc()
 	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
 	defer e.duration.UpdateDuration(x.Started)
-	defer func() { x.permit.release(); x.place.leave() }()
 	e.inFlight.begin(x)
 	defer e.inFlight.end(x)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { x.permit.release(); x.place.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", notRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").after(time.Second))
 		return
@@ -143,7 +144,7 @@
 	if refusal.Outcome == OutcomeReplayed {
 		return
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`lacewing_refusals_total{stage=%q,reason=%q,outcome=%q}`, stage, refusal.Reason, refusal.Outcome)).Inc()
+	e.refused.of(refusalClass{stage, refusal.Reason, refusal.Outcome}).Inc()
 	e.events.Add(timeline.Event{
 		Kind: timeline.KindRefused, Account: x.AccountName(), Request: x.RequestID,
 		Reason: string(refusal.Reason) + " " + string(refusal.Outcome),
--- a/scenario/rate_test.go
+++ b/scenario/rate_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+const exceedsWindow = 2 * time.Second
+
+// cmdExceeds waits for a window in which more than burst + rate * length is
+// served: the load wants that much, and the fleet admits it.
+func cmdExceeds(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: exceeds RATE BURST")
+	}
+	rate, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	burst, err := strconv.ParseFloat(args[1], 64)
+	ts.Check(err)
+	for began := time.Now(); time.Since(began) < awaitLimit; {
+		before, since := servedInAll(ts), time.Now()
+		time.Sleep(exceedsWindow)
+		served := servedInAll(ts) - before
+		ts.Logf("%d served in a window", served)
+		if float64(served) > burst+rate*time.Since(since).Seconds() {
+			return
+		}
+	}
+	ts.Fatalf("gave up: no window of %v had more than burst %v and rate %v", exceedsWindow, burst, rate)
+}
+
 func marksOf(ts *testscript.TestScript) map[string]usage {
 	return ts.Value(marksKey{}).(map[string]usage)
 }
