--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -23,6 +23,7 @@
 //	mark NAME            start a window in which requests at backend servers are counted
 //	within NAME RATE BURST
 //	                     check that the window had at most BURST + RATE * its length
+//	exceeds RATE BURST   wait for a window of two seconds with more than that
 //	expand FILE          replace $NET and other variables in a file
 //
 // VM i has its agent at $NET.100.i:7100 (admin 7101) and its entry at
--- /dev/null
+++ b/scenario/scripts_test.go
@@ -0,0 +1,42 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs the scripts of the repository in a small tree of their own,
+// with a go command that prints what a script of testdata/scripts wants it to.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", filepath.Join(env.WorkDir, "bin")+string(os.PathListSeparator)+os.Getenv("PATH"))
+			source, err := filepath.Abs("../scripts")
+			if err != nil {
+				return err
+			}
+			for _, script := range []string{"proof.sh", "test.sh", "red.sh"} {
+				content, err := os.ReadFile(filepath.Join(source, script))
+				if err != nil {
+					return err
+				}
+				if err := os.MkdirAll(filepath.Join(env.WorkDir, "scripts"), 0o755); err != nil {
+					return err
+				}
+				if err := os.WriteFile(filepath.Join(env.WorkDir, "scripts", script), content, 0o755); err != nil {
+					return err
+				}
+			}
+			for _, command := range []string{"go", "gofmt"} {
+				if err := os.Chmod(filepath.Join(env.WorkDir, "bin", command), 0o755); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	})
+}
