--- a/health/eject.go
+++ b/health/eject.go
@@ -12,7 +12,6 @@
 const (
 	headStart     = 0.5 // of the threshold, for a server that comes back
 	restWithoutVM = 0.5 // of the threshold that other VMs must contribute
-	contradiction = -2  // sum of other zones that speaks for the server
 	suspectLevel  = 1.0 / 3
 	trialSlowness = 3.0 // sum of ratios that ends a probation; one good server in twenty
 )
@@ -32,8 +31,7 @@
 	if !j.severalVMs(j.fleet, found.score) {
 		return // the VM that complains avoids the path by itself
 	}
-	rest, _ := withoutLoudest(found.score.byZone)
-	if len(j.zoneIndex) > 1 && rest <= contradiction {
+	if found.score.contradicted() {
 		j.judgeZones(now, i, s)
 		return
 	}
--- a/health/score.go
+++ b/health/score.go
@@ -10,7 +10,9 @@
 	vmLimit       = 2 // times the threshold that one VM contributes
 	scoreHalfLife = 10 * time.Minute
 	fadePeriod    = time.Second
-	doubtLimit    = 0.5 // of the threshold that requests on silent connections may fill
+
+	fewestContradicting = 3   // requests of other zones
+	doubtLimit          = 0.5 // of the threshold that requests on silent connections may fill
 )
 
 // total adds up observations of one server in one test.
@@ -56,7 +58,8 @@
 	doubt  float64 // part of the sum from connections that may have gone silent
 	byVM   []float64
 	byZone []float64
-	before []total // of all servers, when the excursion began
+	nOf    []float64 // observations in the excursion, by zone
+	before []total   // of all servers, when the excursion began
 }
 
 // part names the VM and the availability zone that an observation came from.
@@ -72,6 +75,7 @@
 	s.n, s.doubt = 0, 0
 	clear(s.byVM)
 	clear(s.byZone)
+	clear(s.nOf)
 	s.before = append(s.before[:0], totals...)
 }
 
@@ -82,6 +86,7 @@
 	sum = min(sum, max(limit-*ofVM, 0))
 	*ofVM += sum
 	*partOf(&s.byZone, from.zone) += sum
+	*partOf(&s.nOf, from.zone) += n
 	s.sum = max(s.sum+sum, 0)
 	s.n += n
 }
@@ -102,6 +107,7 @@
 	}
 	for i := range s.byZone {
 		s.byZone[i] *= by
+		s.nOf[i] *= by
 	}
 }
 
@@ -112,19 +118,22 @@
 	}
 }
 
-// withoutLoudest returns the sum of all parts but the largest, and its index.
-func withoutLoudest(parts []float64) (rest float64, loudest int) {
-	loudest = -1
-	for i, sum := range parts {
-		rest += sum
-		if loudest < 0 || sum > parts[loudest] {
-			loudest = i
+// contradicted reports whether the zones besides the one that complains loudest
+// found the server well.
+func (s *score) contradicted() bool {
+	loudest := 0
+	for zone, sum := range s.byZone {
+		if sum > s.byZone[loudest] {
+			loudest = zone
 		}
 	}
-	if loudest >= 0 {
-		rest -= parts[loudest]
+	rest, n := 0.0, 0.0
+	for zone, sum := range s.byZone {
+		if zone != loudest {
+			rest, n = rest+sum, n+s.nOf[zone]
+		}
 	}
-	return rest, loudest
+	return n >= fewestContradicting && rest <= 0
 }
 
 // fadeFactor is what is left of a score after elapsed.
