--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -18,6 +18,7 @@
 	Credential CredentialCommand `cmd:"" help:"Create and replace operator credentials."`
 	Status     StatusCommand     `cmd:"" help:"Show the state of each VM: revision, freshness, requests in flight."`
 	Timeline   TimelineCommand   `cmd:"" help:"Merge the time lines of processes."`
+	Capacity   CapacityCommand   `cmd:"" help:"Work out what the fleet needs at a size."`
 }
 
 // StoreFlags say where the platform is and who is asking.
--- a/wire/claim.go
+++ b/wire/claim.go
@@ -37,6 +37,8 @@
 	ClaimNotOwner ClaimState = "not-owner" // another agent owns the bucket; nothing was recorded
 	ClaimRefused  ClaimState = "refused"   // nothing was recorded, for want of the store or of memory
 	ClaimInDoubt  ClaimState = "in-doubt"  // not granted, but may be recorded
+
+	ClaimAbandoned ClaimState = "abandoned" // the attempt was given up before its claim arrived
 )
 
 // KeptAnswer is an answer that is replayed to duplicates.
