--- a/health/healthbench/measure_test.go
+++ b/health/healthbench/measure_test.go
@@ -1,7 +1,6 @@
 package healthbench
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -11,11 +10,9 @@
 	"lacewingmount.dev/health"
 )
 
-// The tables of docs/MEASUREMENTS.md come from
+// The benchmarks print the tables of docs/MEASUREMENTS.md. Each is run once:
 //
-//	go test ./health/healthbench -run TestMeasure -v -measure
-var measure = flag.Bool("measure", false, "print the tables of docs/MEASUREMENTS.md")
-
+//	go test ./healthbench -run '^$' -bench . -benchtime 1x
 const (
 	falseTime     = 10 * time.Minute
 	measuredSeeds = 6
@@ -38,10 +35,8 @@
 	return results
 }
 
-func TestMeasureDetection(t *testing.T) {
-	if !*measure {
-		t.Skip("prints tables only, with -measure")
-	}
+// BenchmarkDetection prints how fast failing servers leave service.
+func BenchmarkDetection(*testing.B) {
 	for _, pool := range Pools {
 		for _, fault := range Faults {
 			for _, mode := range []Mode{ModeShared, ModeAlone, ModeConsecutive} {
@@ -75,11 +70,8 @@
 		100*float64(failed)/float64(requests), 100*worst, others)
 }
 
-// TestMeasureTradeOff prints what a wanted rate of false ejections costs in detection.
-func TestMeasureTradeOff(t *testing.T) {
-	if !*measure {
-		t.Skip("prints tables only, with -measure")
-	}
+// BenchmarkTradeOff prints what a wanted rate of false ejections costs in detection.
+func BenchmarkTradeOff(*testing.B) {
 	for _, name := range []string{"bookshelf", "inkwell"} {
 		for _, wanted := range []float64{100, 10, 1, 0.1, 0.001} {
 			policy := health.Policy{FalseEjections: wanted}
@@ -111,11 +103,8 @@
 	}
 }
 
-// TestMeasureBytes prints what the exchange costs on the network, without TCP and IP.
-func TestMeasureBytes(t *testing.T) {
-	if !*measure {
-		t.Skip("prints tables only, with -measure")
-	}
+// BenchmarkBytes prints what the exchange costs on the network, without TCP and IP.
+func BenchmarkBytes(*testing.B) {
 	for _, pool := range Pools {
 		line := "| " + pool.Name + " |"
 		for _, errors := range []float64{0, 1} {
