--- a/health/standing.go
+++ b/health/standing.go
@@ -56,7 +56,7 @@
 
 func (s *viewed) leaving() bool { return s.draining || s.told.Draining }
 
-// cold returns the server's share of requests while it starts slowly, else 1.
+// weight returns the server's share of requests while it starts slowly, else 1.
 func (s *viewed) weight(now time.Time, valid bool) float64 {
 	if valid && s.told.State == wire.StateSlowStart {
 		return min(max(s.told.Weight, slowStartShare), 1)
