--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -57,6 +57,7 @@
 			"expand":     cmdExpand,
 			"mark":       cmdMark,
 			"within":     cmdWithin,
+			"exceeds":    cmdExceeds,
 		},
 	})
 }
