An entry that stops in order ends with status 0

Cause: the scenario of a stopping VM failed now and then with the entry's status 1. The listener is closed before http.Server.Shutdown; if Serve has not returned by then, Shutdown closes it again and returns that error, after it waited for all requests. Ruled out: a torn answer (it was whole, 200, in the failing run).

Change: that error is not one.

--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -66,6 +67,9 @@
 		time.Sleep(quietPoll)
 	}
 	err := server.Shutdown(context.Background())
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // of the listener, which was closed above
+	}
 	e.events.Add(timeline.Event{Kind: timeline.KindStopped})
 	e.log.Info("stopped")
 	e.report(context.Background(), true)
