--- a/entry/once_proof_test.go
+++ b/entry/once_proof_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -81,12 +82,17 @@
 	})
 	b := newBench(t, addresses(server)...)
 	key := newKey()
-	request, _ := http.NewRequest(http.MethodPost, b.URL+"/protected", strings.NewReader("order"))
+	ctx, leave := context.WithCancel(t.Context())
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.URL+"/protected", strings.NewReader("order"))
 	request.Header.Set(idempotencyHeader, key)
 	request.Header.Set("X-Client-Key", benchKey)
-	request.Header.Set(deadlineHeader, "1500")
-	impatient := &http.Client{Transport: &http.Transport{}, Timeout: 50 * time.Millisecond}
-	if _, err := impatient.Do(request); err == nil {
+	go func() {
+		for _, runs := server.counts(); runs == 0; _, runs = server.counts() {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	if got := perform(request); got.err == nil {
 		t.Fatal("the caller was to leave first")
 	}
 	if got := b.protected(t, key, "order"); got.outcome != OutcomeUnknown {
@@ -100,3 +106,33 @@
 		t.Fatalf("ran %d times", runs)
 	}
 }
+
+// A duplicate that arrives while the first copy runs gets the answer to it.
+func TestProofOnceDuplicateWaitsForTheAnswer(t *testing.T) {
+	server := newRawServer(t, func(c *rawConn, _ int) {
+		if c.read() != nil {
+			time.Sleep(150 * time.Millisecond)
+			c.send(okAnswer)
+		}
+	})
+	b := newBench(t, addresses(server)...)
+	key := newKey()
+	const copies = 4
+	replies := make(chan reply, copies)
+	for range copies {
+		go func() { replies <- b.protected(t, key, "order") }()
+	}
+	replayed := 0
+	for range copies {
+		got := <-replies
+		if got.body != "ok" {
+			t.Fatalf("got %+v", got)
+		}
+		if got.outcome == OutcomeReplayed {
+			replayed++
+		}
+	}
+	if _, runs := server.counts(); runs != 1 || replayed != copies-1 {
+		t.Fatalf("%d runs, %d replays", runs, replayed)
+	}
+}
