--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -58,8 +58,8 @@
 
 start_backends() { # the backend servers of the section, at most 60
   { echo "admin: $net.0.2:7002"; echo "servers:"; } >"$run/backend.yaml"
-  awk '/name:/ {name = $NF} /address:/ {print "  - {name: " name ", listen: \"" $2 "\"}"}' "$run/section.yaml" |
-    head -n 60 >>"$run/backend.yaml"
+  awk '/name:/ {name = $NF} /address:/ && n++ < 60 {print "  - {name: " name ", listen: \"" $2 "\"}"}' \
+    "$run/section.yaml" >>"$run/backend.yaml"
   start backend standin-backend "$run/backend.yaml"
 }
 
