--- a/capacity/estimate.go
+++ b/capacity/estimate.go
@@ -49,6 +49,10 @@
 // ids, method and stamps of question and answer.
 const callOverheadBytes = 168
 
+// largestInline is the size of the configuration's root, in bytes of base64 text,
+// above which it is stored in chunks that are smaller.
+const largestInline = (256 << 10) * 4 / 3
+
 // localMethods are called by a VM's own entry, so their bytes stay on the VM.
 var localMethods = []string{
 	"agent.snapshot", "agent.claim", "agent.settle", "agent.health", "agent.report", "agent.hand-back", "agent.tokens",
@@ -72,7 +76,7 @@
 		{"store", "reads of the fleet", reads * nodes, limits.StoreReads, "/s"},
 		{"store", "writes of the fleet", writes * nodes, limits.StoreWrites, "/s"},
 		{"store", "configuration", at(measureConfigBytes) / 1e3, 0, "kB"},
-		{"store", "largest value", at(measureConfigValue) / 1e3, limits.StoreValue / 1e3, "kB"},
+		{"store", "largest value", min(at(measureConfigValue), largestInline) / 1e3, limits.StoreValue / 1e3, "kB"},
 	}
 	return append(rows, messageRows(slopes, size)...)
 }
