--- a/agent/agent.go
+++ b/agent/agent.go
@@ -151,6 +151,6 @@
 	a.claims.handle(handlers)
 	wire.Handle(handlers, wire.MethodTokens, a.lending.tokens)
 	wire.Handle(handlers, wire.MethodLend, a.lending.exchange)
-	wire.Handle(handlers, wire.MethodInherit, a.shares.inherit)
+	wire.Handle(handlers, wire.MethodTransfer, a.shares.receive)
 	return handlers
 }
--- a/agent/lending.go
+++ b/agent/lending.go
@@ -30,12 +30,12 @@
 	self   limit.VM
 	now    func() time.Time
 
-	mu       sync.Mutex
-	lender   *limit.Lender
-	home     *limit.Home
-	members  []membership.Member
-	document *config.Document
-	disowned chan struct{} // holds one value while the ledger must be read again
+	mu         sync.Mutex
+	lender     *limit.Lender
+	home       *limit.Home
+	members    []membership.Member
+	document   *config.Document
+	superseded chan struct{} // holds one value while the ledger must be read again
 }
 
 func newLending(peers *peers, state *state, log *zap.Logger, events *timeline.Ring) *lending {
@@ -44,7 +44,7 @@
 		peers: peers, state: state, log: log, events: events, terms: limit.DefaultTerms, self: self,
 		now:    daemon.Monotonic,
 		lender: limit.NewLender(limit.DefaultTerms, self), home: limit.NewHome(limit.DefaultTerms, self.Incarnation),
-		disowned: make(chan struct{}, 1),
+		superseded: make(chan struct{}, 1),
 	}
 }
 
@@ -104,7 +104,7 @@
 		return reply, err
 	}
 	if l.lender.Complete(out, reply, l.now()) {
-		l.noteDisowned(out.To)
+		l.noteSuperseded(out.To)
 	}
 	return reply, nil
 }
@@ -124,12 +124,12 @@
 	return reply, err
 }
 
-// noteDisowned asks for a look at the ledger.
-func (l *lending) noteDisowned(by string) {
+// noteSuperseded asks for a look at the ledger.
+func (l *lending) noteSuperseded(by string) {
 	l.log.Warn("shares are no longer held", zap.String("home", by))
 	l.events.Add(timeline.Event{Kind: timeline.KindSharesLost, Reason: "denied by " + by})
 	select {
-	case l.disowned <- struct{}{}:
+	case l.superseded <- struct{}{}:
 	default:
 	}
 }
--- a/agent/shares.go
+++ b/agent/shares.go
@@ -37,9 +37,9 @@
 	held    limit.Holding
 	excess  excess
 
-	mu        sync.Mutex
-	inherited []limit.Lend // of VMs that left while the store was gone
-	leaving   bool
+	mu       sync.Mutex
+	received []limit.Lend // of VMs that left while the store was gone
+	leaving  bool
 }
 
 // excess is a part of the holding that is no longer lent and will be given back.
@@ -68,7 +68,7 @@
 		timer := time.NewTimer(jitter(wait))
 		select {
 		case <-timer.C:
-		case <-s.lending.disowned:
+		case <-s.lending.superseded:
 		case <-ctx.Done():
 		}
 		timer.Stop()
@@ -132,9 +132,9 @@
 		if s.held.Shares > 0 {
 			return ledger, false, nil // superseded for good
 		}
-		s.from = s.started.Add(s.lending.terms.Quarantine())
+		s.from = s.started.Add(s.lending.terms.RestartDelay())
 	}
-	moved := s.transfer(&ledger)
+	moved := s.recordReceived(&ledger)
 	freed, err := s.reclaim(ctx, &ledger)
 	if err != nil {
 		return ledger, false, err
@@ -195,12 +195,12 @@
 	if held.Holder == l.self && held.Shares > s.excess.shares {
 		rights = []limit.Lend{{Holder: l.self, Shares: held.Shares - s.excess.shares, Total: ledger.Total, Ledger: ledger.Version}}
 	}
-	rights = append(rights, s.stillInherited(ledger)...)
+	rights = append(rights, s.stillReceived(ledger)...)
 	l.mu.Lock()
 	l.home.SetLedger(ledger, l.now())
 	l.lender.SetRights(rights, s.from, l.now())
 	if s.excess.shares > 0 && s.excess.freeAt.IsZero() {
-		s.excess.freeAt = l.now().Add(l.terms.Quarantine())
+		s.excess.freeAt = l.now().Add(l.terms.RestartDelay())
 	}
 	l.mu.Unlock()
 	if held != s.held {
@@ -222,7 +222,7 @@
 	for ctx.Err() == nil {
 		ledger, err := s.read(ctx)
 		if err != nil {
-			s.bequeath(ctx)
+			s.handOver(ctx)
 			return
 		}
 		next, changed := ledger.Release(s.lending.self)
--- a/agent/shares_test.go
+++ b/agent/shares_test.go
@@ -148,7 +148,7 @@
 	s.reconcile(first)
 	second := s.start(0, 2)
 	s.reconcile(second)
-	if want := s.now().Add(second.lending.terms.Quarantine()); second.shares.from != want {
+	if want := s.now().Add(second.lending.terms.RestartDelay()); second.shares.from != want {
 		t.Errorf("the shares may be used from %v, want %v", second.shares.from, want)
 	}
 	s.reconcile(first) // a predecessor that still runs
@@ -195,7 +195,7 @@
 	}
 }
 
-func TestProofRateLeavingVMReturnsOrBequeathsItsShares(t *testing.T) {
+func TestProofRateLeavingVMReturnsOrTransfersItsShares(t *testing.T) {
 	for _, gone := range []bool{false, true} {
 		t.Run(fmt.Sprintf("store gone %t", gone), func(t *testing.T) {
 			s := newSharing(t, 2)
@@ -205,7 +205,7 @@
 			s.store.gone = gone
 			agents[0].shares.leave(t.Context())
 			if gone && lendable(agents[1]) != limit.InitialShares {
-				t.Fatalf("the heir lends %d shares", lendable(agents[1]))
+				t.Fatalf("the successor lends %d shares", lendable(agents[1]))
 			}
 			s.store.gone = false
 			agents[1].peers.update(s.vms[1:])
@@ -231,7 +231,7 @@
 	if lendable(first) != limit.InitialShares/2 || lendable(second) != 0 {
 		t.Fatalf("first lends %d, second %d before the excess is free", lendable(first), lendable(second))
 	}
-	s.pass(first.lending.terms.Quarantine())
+	s.pass(first.lending.terms.RestartDelay())
 	s.reconcile(first, second)
 	if lendable(first) != limit.InitialShares/2 || lendable(second) != limit.InitialShares/2 {
 		t.Fatalf("first lends %d, second %d, want half each", lendable(first), lendable(second))
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -29,7 +29,7 @@
 	a.endSharing()
 	a.shares.leave(a.background)
 	a.peers.leave(true)
-	a.farewell()
+	a.announceStop()
 	a.events.Add(timeline.Event{Kind: timeline.KindStopped})
 	a.log.Info("stopped")
 }
@@ -47,8 +47,8 @@
 	}
 }
 
-// farewell tells a few peers at once that this agent is gone; they pass it on.
-func (a *Agent) farewell() {
+// announceStop tells a few peers at once that this agent is gone; they pass it on.
+func (a *Agent) announceStop() {
 	ctx, cancel := context.WithTimeout(a.background, membership.ExchangeTimeout)
 	defer cancel()
 	probes := a.peers.round()
--- a/entry/conn.go
+++ b/entry/conn.go
@@ -18,7 +18,7 @@
 	maxIdleAge    = 20 * time.Second        // an older idle connection is closed, not used
 	maxIdleConns  = balance.IdleConnections // to each backend server
 	maxIdleUnused = -1                      // of net/http's own pool
-	distrustTime  = 10 * time.Minute        // without reuse after unrequested bytes
+	noReuseTime   = 10 * time.Minute        // without reuse after unrequested bytes
 )
 
 // newTransport returns a transport to backend servers. net/http serves a single
@@ -50,7 +50,7 @@
 	era   uint64        // connections of earlier eras are not used again
 	sweep *time.Timer   // closes connections that stay idle; nil when none is
 
-	distrusted time.Time // until then no connection is used again
+	noReuseUntil time.Time // until then no connection is used again
 }
 
 // take returns the connection that was used last, or nil if a new one is needed.
@@ -91,10 +91,10 @@
 	state := sockets.Peek(conn.Conn)
 	if state == sockets.Noisy {
 		unrequestedBytes.Inc()
-		p.distrusted = time.Now().Add(distrustTime)
+		p.noReuseUntil = time.Now().Add(noReuseTime)
 		p.closeIdle()
 	}
-	return state == sockets.Quiet && time.Now().After(p.distrusted)
+	return state == sockets.Quiet && time.Now().After(p.noReuseUntil)
 }
 
 var unrequestedBytes = metrics.GetOrCreateCounter("lacewing_backend_unrequested_bytes_total")
--- a/health/report.go
+++ b/health/report.go
@@ -110,7 +110,7 @@
 		j.sawDrain(now, s, "its own answer")
 	}
 	if report.Ejected > 0 {
-		j.inherit(now, s, report)
+		j.takeOver(now, s, report)
 	}
 	if !evidence {
 		return
@@ -143,8 +143,8 @@
 	j.zonePool(from.zone).observe(now, index, from.from, added)
 }
 
-// inherit takes over an ejection of an earlier home, while the judge is new.
-func (j *Judge) inherit(now time.Time, s *server, report *wire.ServerReport) {
+// takeOver takes over an ejection of an earlier home, while the judge is new.
+func (j *Judge) takeOver(now time.Time, s *server, report *wire.ServerReport) {
 	if s.state != wire.StateInService || now.Sub(j.started) > VerdictLife {
 		return
 	}
--- a/limit/compare_test.go
+++ b/limit/compare_test.go
@@ -104,8 +104,8 @@
 	n.lender.Leave()
 	n.home.Leave(n.clock())
 	l.after(memberLag, l.publishMembers)
-	l.after(memberLag+DefaultTerms.Quarantine(), func() {
-		l.bequeath(n)
+	l.after(memberLag+DefaultTerms.RestartDelay(), func() {
+		l.handOver(n)
 		l.replace(vm)
 	})
 }
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -158,21 +158,21 @@
 
 // node is one VM with its agent and entry.
 type node struct {
-	fleet     *fleet
-	index     int
-	vm        VM
-	lender    *Lender
-	home      *Home
-	caches    map[string]*Cache
-	waiting   map[string][]*request
-	pumped    map[string]time.Duration
-	rate      float64       // of the clock
-	hold      time.Duration // most time between the reservation of a token and its use
-	paused    time.Duration
-	down      bool
-	life      int // counts restarts, so that events of an earlier life are dropped
-	stale     time.Time
-	inherited []Lend
+	fleet    *fleet
+	index    int
+	vm       VM
+	lender   *Lender
+	home     *Home
+	caches   map[string]*Cache
+	waiting  map[string][]*request
+	pumped   map[string]time.Duration
+	rate     float64       // of the clock
+	hold     time.Duration // most time between the reservation of a token and its use
+	paused   time.Duration
+	down     bool
+	life     int // counts restarts, so that events of an earlier life are dropped
+	stale    time.Time
+	received []Lend
 }
 
 type request struct {
@@ -212,7 +212,7 @@
 	n.down, n.paused = false, 0
 	n.vm = VM{Name: name, Incarnation: f.nextStart}
 	n.lender, n.home = NewLender(f.terms, n.vm), NewHome(f.terms, n.vm.Incarnation)
-	n.inherited = nil
+	n.received = nil
 	n.caches, n.waiting, n.pumped = map[string]*Cache{}, map[string][]*request{}, map[string]time.Duration{}
 	n.home.SetQuotas(f.quotas, n.clock())
 	n.lender.SetAccounts(f.quotas)
@@ -232,7 +232,7 @@
 	n.transfer()
 	from := started
 	if held, ok := f.ledger.Of(n.vm.Name); ok && held.Holder != n.vm {
-		from = started.Add(f.terms.Quarantine())
+		from = started.Add(f.terms.RestartDelay())
 	}
 	if next, changed := f.ledger.Claim(n.vm, len(f.nodes)); changed {
 		next.Version++
@@ -246,32 +246,32 @@
 	}
 }
 
-// bequeath hands the rights of a leaving node to another one, by a message that
+// handOver gives the rights of a leaving node to another one, by a message that
 // may be lost or doubled.
-func (f *fleet) bequeath(n *node) {
-	heir := f.nodes[(n.index+1)%len(f.nodes)]
+func (f *fleet) handOver(n *node) {
+	successor := f.nodes[(n.index+1)%len(f.nodes)]
 	rights := n.lender.Rights()
-	if heir == n || heir.down || heir.index >= f.shareless {
+	if successor == n || successor.down || successor.index >= f.shareless {
 		return
 	}
-	f.carry(n, heir, rights, func() { heir.inherit(rights) })
+	f.carry(n, successor, rights, func() { successor.addRights(rights) })
 }
 
-func (n *node) inherit(rights []Lend) {
-	n.inherited = append(n.inherited, rights...)
-	n.lender.Inherit(rights)
+func (n *node) addRights(rights []Lend) {
+	n.received = append(n.received, rights...)
+	n.lender.AddRights(rights)
 }
 
-// transfer moves inherited shares in the ledger to their heir.
+// transfer moves received shares in the ledger to their successor.
 func (n *node) transfer() {
 	f := n.fleet
-	for _, right := range n.inherited {
+	for _, right := range n.received {
 		if next, changed := f.ledger.Transfer(right.Holder, n.vm); changed {
 			next.Version++
 			f.ledger = next
 		}
 	}
-	n.inherited = nil
+	n.received = nil
 }
 
 func (f *fleet) publishMembers() {
--- a/limit/home.go
+++ b/limit/home.go
@@ -79,7 +79,7 @@
 	reply.Released = h.leaving || len(m.Withdraw) > 0
 	for _, lend := range m.Lends {
 		if !h.owned(lend) {
-			reply.Disowned = true
+			reply.Superseded = true
 		} else if !h.leaving {
 			g.accept(lend, time.Unix(0, m.Stamp), now, h.terms)
 		}
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -105,7 +105,7 @@
 const excessDivisor = 4 // a quarter more than an equal part is left alone
 
 // Shrink frees some of a holder's shares. The holder must not have lent them for
-// Terms.Quarantine.
+// Terms.RestartDelay.
 func (l Ledger) Shrink(holder VM, by int) Ledger {
 	next := l.without("")
 	for i := range next.Holdings {
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -100,9 +100,9 @@
 	l.rights, l.from, l.confirmed = rights, later(l.from, from), now
 }
 
-// Inherit adds the rights of a VM that has left and that no home uses any more.
-// It must get them from that VM, which gives them to one heir only.
-func (l *Lender) Inherit(rights []Lend) {
+// AddRights adds the rights of a VM that has left and that no home uses any more.
+// It must get them from that VM, which gives them to one successor only.
+func (l *Lender) AddRights(rights []Lend) {
 	merged := slices.Clone(l.rights)
 	for _, right := range rights {
 		known := slices.ContainsFunc(merged, func(r Lend) bool { return r.Holder.Name == right.Holder.Name })
@@ -199,9 +199,9 @@
 
 // Complete takes over the reply to an exchange. It reports whether the home has
 // a younger ledger that denies the right.
-func (l *Lender) Complete(out Outgoing, reply Reply, now time.Time) (disowned bool) {
+func (l *Lender) Complete(out Outgoing, reply Reply, now time.Time) (superseded bool) {
 	p := l.peer(out.To)
-	if reply.Home < p.incarnation && now.Sub(p.heard) < l.terms.Quarantine() {
+	if reply.Home < p.incarnation && now.Sub(p.heard) < l.terms.RestartDelay() {
 		return false // from a predecessor
 	}
 	if out.To != l.self.Name {
@@ -224,10 +224,10 @@
 	if reply.Released && g.home == out.To && g.incarnation == reply.Home && out.number >= g.lastLend {
 		g.until = earlier(g.until, now.Add(l.terms.released()))
 	}
-	if reply.Disowned {
+	if reply.Superseded {
 		l.SetRights(nil, now, l.confirmed)
 	}
-	return reply.Disowned
+	return reply.Superseded
 }
 
 // renewSoon makes exchanges with a home due that answers again.
--- a/limit/message.go
+++ b/limit/message.go
@@ -61,14 +61,14 @@
 
 // Reply answers an Exchange.
 type Reply struct {
-	Home     uint64  `json:"h"` // incarnation of the home
-	Stamp    int64   `json:"p"`
-	Ledger   uint64  `json:"r,omitempty"` // version of the home's ledger
-	Released bool    `json:"w,omitempty"` // the home uses no right of the sender
-	Leaving  bool    `json:"x,omitempty"` // the home stops; its groups belong elsewhere
-	Disowned bool    `json:"d,omitempty"` // a younger ledger says that the right is not the sender's
-	Mismatch bool    `json:"m,omitempty"` // the home has other terms
-	Grants   []Grant `json:"g,omitempty"`
+	Home       uint64  `json:"h"` // incarnation of the home
+	Stamp      int64   `json:"p"`
+	Ledger     uint64  `json:"r,omitempty"` // version of the home's ledger
+	Released   bool    `json:"w,omitempty"` // the home uses no right of the sender
+	Leaving    bool    `json:"x,omitempty"` // the home stops; its groups belong elsewhere
+	Superseded bool    `json:"d,omitempty"` // a younger ledger says that the right is not the sender's
+	Mismatch   bool    `json:"m,omitempty"` // the home has other terms
+	Grants     []Grant `json:"g,omitempty"`
 }
 
 // Grant answers one Ask.
--- a/limit/proof_test.go
+++ b/limit/proof_test.go
@@ -251,7 +251,7 @@
 	n.crash()
 	m.lastVM++
 	m.start(n, fmt.Sprintf("vm-%d", m.lastVM))
-	m.after(m.terms.Quarantine()+time.Second, func() { m.free(old) })
+	m.after(m.terms.RestartDelay()+time.Second, func() { m.free(old) })
 }
 
 func (m *machine) free(holder VM) {
@@ -266,7 +266,7 @@
 }
 
 // leave stops a VM in order: its rights come back before its shares are freed.
-// While the store is gone, another VM inherits the rights.
+// While the store is gone, another VM receives the rights.
 func (m *machine) leave(n *node) {
 	if n.down {
 		return
@@ -282,7 +282,7 @@
 		return
 	}
 	if m.storeGone {
-		m.bequeath(n)
+		m.handOver(n)
 	} else {
 		m.free(n.vm)
 	}
@@ -312,7 +312,7 @@
 	for _, n := range m.nodes {
 		n.home.SetQuotas(m.quotas, n.clock())
 	}
-	m.runUntil(m.now + m.terms.Quarantine())
+	m.runUntil(m.now + m.terms.RestartDelay())
 	meter.advance(m.now)
 	m.quota, meter.quota = next, m.bound(next)
 	meter.level = min(meter.level, next.Burst)
--- a/limit/terms.go
+++ b/limit/terms.go
@@ -25,8 +25,8 @@
 
 func withMargin(d time.Duration) time.Duration { return d + d/clockMarginDivisor }
 
-// Quarantine is how long a restarted VM leaves its predecessor's shares alone.
-func (t Terms) Quarantine() time.Duration { return withMargin(t.Lend + t.Life) }
+// RestartDelay is how long a restarted VM leaves its predecessor's shares alone.
+func (t Terms) RestartDelay() time.Duration { return withMargin(t.Lend + t.Life) }
 
 // promptLife is the life of tokens for requests that wait. They are spent as soon
 // as they arrive, and the shorter they count as outstanding the sooner the bucket
--- a/limit/terms_test.go
+++ b/limit/terms_test.go
@@ -110,7 +110,7 @@
 	})
 	t.Run("not into another holding before it is free", func(t *testing.T) {
 		l, first, _, _ := newPair()
-		l.Inherit([]Lend{{Holder: VM{Name: "vm-9"}, Shares: 1, Total: 2}})
+		l.AddRights([]Lend{{Holder: VM{Name: "vm-9"}, Shares: 1, Total: 2}})
 		lendTo(t, l, first, epoch)
 		l.SetRights([]Lend{{Holder: l.self, Shares: 1, Total: 1}}, epoch, epoch)
 		if lentAt(l, first, l.FreeAt().Add(-time.Nanosecond)) || !lentAt(l, first, l.FreeAt()) {
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -9,18 +9,18 @@
 	// MethodLend lends rights to another agent and asks it for tokens;
 	// limit.Exchange to limit.Reply.
 	MethodLend = "agent.lend"
-	// MethodInherit hands the rights of a VM that leaves while the store is gone
-	// to one other agent; Inheritance to InheritanceTaken.
-	MethodInherit = "agent.inherit"
+	// MethodTransfer gives the rights of a VM that leaves while the store is gone
+	// to one other agent; ShareTransfer to ShareTransferTaken.
+	MethodTransfer = "agent.transfer"
 )
 
-// Inheritance are the rights of a VM that leaves. No home uses them any more.
-type Inheritance struct {
+// ShareTransfer are the rights of a VM that leaves. No home uses them any more.
+type ShareTransfer struct {
 	Rights []limit.Lend `json:"rights"`
 }
 
-// InheritanceTaken acknowledges an Inheritance.
-type InheritanceTaken struct{}
+// ShareTransferTaken acknowledges a ShareTransfer.
+type ShareTransferTaken struct{}
 
 // TokensRequest asks for tokens of one account.
 type TokensRequest struct {
