Load tool: each request keeps its own planned time

Cause: the race detector found that the open loop's goroutines read the offset that the loop goes on changing, so a sample could be booked at a later request's time, which bends what an account was entitled to. Fails before: go test -race ./load, 3 reports; passes now, 3 of 3. Ruled out elsewhere: -race over agent, ctl, daemon, entry, platform, sockets, standin, timeline, wire, limit, once, health, membership, config, balance, and the scenarios with programs built with -race: no report. Change: make race, for the modules with goroutines.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X lacewingmount.dev/daemon.Version=$(VERSION)
 
-.PHONY: build demo test bench fmt tidy proof red slopes
+.PHONY: race build demo test bench fmt tidy proof red slopes
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
@@ -35,3 +35,7 @@
 # make slopes measures agents against size; feed it to "lacewingctl capacity fit".
 slopes: build
 	@./scripts/slopes.sh
+
+# Runs the tests of the modules with goroutines under the race detector.
+race:
+	$(GO) test -race -count=1 ./agent ./ctl ./daemon ./entry ./load ./platform ./sockets ./standin ./timeline ./wire
--- a/load/run.go
+++ b/load/run.go
@@ -82,7 +82,7 @@
 	offset := time.Duration(0)
 	for {
 		offset += time.Duration(random.ExpFloat64() / mix.Rate * float64(time.Second))
-		planned := s.start.Add(offset)
+		after, planned := offset, s.start.Add(offset)
 		if offset > s.settings.Duration.Std() || !sleepUntil(ctx, planned) {
 			return
 		}
@@ -91,7 +91,7 @@
 		second := s.address(by, random)
 		running.Go(func() {
 			end := s.perform(ctx, call)
-			s.report.add(index, by, sample{planned: offset, took: time.Since(planned), end: end})
+			s.report.add(index, by, sample{planned: after, took: time.Since(planned), end: end})
 			if twice {
 				s.report.addDuplicate(s.perform(ctx, call.through(second)))
 			}
