Lists that need an item refuse an empty one

Cause: the tag required lets an empty list pass, so a questionnaire without services was generated. Change: min=1.

--- a/config/document.go
+++ b/config/document.go
@@ -31,9 +31,9 @@
 	Rotations []Rotation      `json:"rotations,omitempty" yaml:"-"`       // from earlier credentials to Operator
 	Revision  uint64          `json:"revision" yaml:"-"`                  // of the document that changed this section last
 	Applied   Change          `json:"applied" yaml:"-"`                   // the last change of services, routes or accounts
-	Services  []Service       `json:"services" yaml:"services" validate:"required,dive"`
-	Routes    []Route         `json:"routes" yaml:"routes" validate:"required,dive"`
-	Accounts  []ClientAccount `json:"accounts" yaml:"accounts" validate:"required,dive"`
+	Services  []Service       `json:"services" yaml:"services" validate:"min=1,dive"`
+	Routes    []Route         `json:"routes" yaml:"routes" validate:"min=1,dive"`
+	Accounts  []ClientAccount `json:"accounts" yaml:"accounts" validate:"min=1,dive"`
 	Keys      []Key           `json:"keys,omitempty" yaml:"keys,omitempty" validate:"dive"`
 
 	sealed *sealed // the signed form, if the section has not changed since
@@ -56,7 +56,7 @@
 	Connections int             `json:"connections" yaml:"connections" validate:"min=1"` // connections that one server accepts
 	Concern     Concern         `json:"concern" yaml:"concern" validate:"oneof=false-ejection detection-time"`
 	Probe       string          `json:"probe,omitempty" yaml:"probe,omitempty" validate:"omitempty,startswith=/"` // path of probes; "" for the health endpoint
-	Servers     []BackendServer `json:"servers" yaml:"servers" validate:"required,dive"`
+	Servers     []BackendServer `json:"servers" yaml:"servers" validate:"min=1,dive"`
 }
 
 // BackendServer is one server of a service.
@@ -69,7 +69,7 @@
 // Route maps a path prefix to a service.
 type Route struct {
 	Path      string        `json:"path" yaml:"path" validate:"startswith=/"` // matches whole segments
-	Methods   []string      `json:"methods" yaml:"methods" validate:"required"`
+	Methods   []string      `json:"methods" yaml:"methods" validate:"min=1"`
 	Service   string        `json:"service" yaml:"service" validate:"required"`
 	Open      bool          `json:"open,omitempty" yaml:"open,omitempty"`           // served without a key
 	Protected bool          `json:"protected,omitempty" yaml:"protected,omitempty"` // runs at most once
--- a/config/questionnaire.go
+++ b/config/questionnaire.go
@@ -15,8 +15,8 @@
 type Questionnaire struct {
 	Partner  string           `yaml:"partner" validate:"required"`
 	Concern  Concern          `yaml:"concern" validate:"oneof=false-ejection detection-time"`
-	Services []ServiceAnswers `yaml:"services" validate:"required,dive"`
-	Accounts []ClientAccount  `yaml:"client_accounts" validate:"required,dive"`
+	Services []ServiceAnswers `yaml:"services" validate:"min=1,dive"`
+	Accounts []ClientAccount  `yaml:"client_accounts" validate:"min=1,dive"`
 }
 
 // ServiceAnswers describes one service.
@@ -26,8 +26,8 @@
 	Slots       int              `yaml:"slots" validate:"min=1"`
 	Connections int              `yaml:"connections" validate:"min=1"`
 	Probe       string           `yaml:"probe" validate:"omitempty,startswith=/"` // path of a cheap request that changes nothing
-	Servers     []ServerRange    `yaml:"servers" validate:"required,dive"`
-	Requests    []RequestAnswers `yaml:"requests" validate:"required,dive"`
+	Servers     []ServerRange    `yaml:"servers" validate:"min=1,dive"`
+	Requests    []RequestAnswers `yaml:"requests" validate:"min=1,dive"`
 }
 
 // ServerRange describes backend servers of one availability zone with
@@ -41,7 +41,7 @@
 // RequestAnswers describes one kind of request.
 type RequestAnswers struct {
 	Path         string          `yaml:"path" validate:"startswith=/"`
-	Methods      []string        `yaml:"methods" validate:"required,dive,oneof=GET HEAD POST PUT PATCH DELETE"`
+	Methods      []string        `yaml:"methods" validate:"min=1,dive,oneof=GET HEAD POST PUT PATCH DELETE"`
 	NeverTwice   bool            `yaml:"never_twice"`   // the request must not run twice
 	OpenToAll    bool            `yaml:"open_to_all"`   // no key needed
 	Upload       bool            `yaml:"upload"`        // large body, may be slow
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -18,7 +18,7 @@
 // BackendSettings are the settings of a process that stands in for backend servers.
 type BackendSettings struct {
 	Admin   string          `yaml:"admin" validate:"hostname_port"`
-	Servers []BackendServer `yaml:"servers" validate:"required,dive"`
+	Servers []BackendServer `yaml:"servers" validate:"min=1,dive"`
 }
 
 // BackendServer is one backend server of the process.
--- a/standin/link.go
+++ b/standin/link.go
@@ -14,7 +14,7 @@
 // LinkSettings are the settings of a process that stands in for network links.
 type LinkSettings struct {
 	Admin string     `yaml:"admin" validate:"hostname_port"`
-	Links []LinkAddr `yaml:"links" validate:"required,dive"`
+	Links []LinkAddr `yaml:"links" validate:"min=1,dive"`
 }
 
 // LinkAddr is one link: connections to Listen are carried to Target.
