red.sh ends with its own status

Cause: the trap removed the scratch checkout a second time; under set -e git's status 128 became the script's, so make red failed although the proof was red. Change: the trap ignores that.

--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -9,7 +9,7 @@
 patches=(proofs/red/"$point"-${2:-*}.patch)
 [ -e "${patches[0]}" ] || { echo "no patch ${patches[0]}" >&2; exit 1; }
 scratch=$(mktemp -d)
-trap 'git worktree remove --force "$scratch/tree" 2>/dev/null; rm -rf "$scratch"' EXIT
+trap 'git worktree remove --force "$scratch/tree" 2>/dev/null || true; rm -rf "$scratch"' EXIT
 status=0
 for patch in "${patches[@]}"; do
   git worktree add --quiet --detach "$scratch/tree" HEAD
