An owner of claims without the store is asked for the answers that it keeps

Then the owner refuses the new key during the outage and is suspected; the duplicate of the answered one was asked of the other VM first, whose refusal ended the search, because a takeover had just been tried. The caller was told not run, try again, although the owner knew the answer. Change: after a refusal the suspected agents are asked all the same. Asking grants nothing: the store still fences owners.

--- a/agent/claims.go
+++ b/agent/claims.go
@@ -123,19 +123,23 @@
 	return answer, nil
 }
 
-// askOwners asks the agents that may own a bucket until one has an answer.
+// askOwners asks the agents that may own a bucket until one has an answer. An
+// agent that was suspected is asked in any case: it may still own the bucket and
+// know the claim, also while it cannot write.
 func (c *claims) askOwners(ctx context.Context, bucket int, request wire.OwnerClaimRequest) wire.ClaimAnswer {
-	last := wire.ClaimAnswer{State: wire.ClaimRefused}
+	last, probing := wire.ClaimAnswer{State: wire.ClaimRefused}, true
 	for _, member := range c.candidates(bucket) {
+		if !probing && !c.suspected(member) {
+			continue
+		}
 		answer, err := c.askOwner(ctx, member, request)
 		switch {
 		case err != nil:
 			last.State = wire.ClaimInDoubt
 		case answer.State == wire.ClaimRefused:
-			if !c.mayProbe(bucket) {
-				return last
+			if probing = probing && c.mayProbe(bucket); probing {
+				c.suspect(member) // it may be cut off from the store
 			}
-			c.suspect(member) // it may be cut off from the store
 		case answer.State != wire.ClaimNotOwner:
 			c.trust(member)
 			return answer
@@ -220,6 +224,12 @@
 	c.suspects[member.Name] = time.Now().Add(ownerSuspectTime)
 }
 
+func (c *claims) suspected(member membership.Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.suspects[member.Name])
+}
+
 func (c *claims) trust(member membership.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/agent/claims_test.go
+++ b/agent/claims_test.go
@@ -201,3 +201,43 @@
 		}
 	}
 }
+
+// An owner that cannot write still tells the answers that it keeps, also after it
+// had to refuse another request of the same bucket.
+func TestOwnerWithoutStoreTellsKeptAnswers(t *testing.T) {
+	b := newClaimsBench(t, 2)
+	byBucket := map[int][]string{}
+	for _, key := range newKeys(16 * once.Buckets) {
+		claim, err := newClaim(claimOf(key, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		bucket := once.BucketOf(claim.ID, once.Buckets)
+		byBucket[bucket] = append(byBucket[bucket], key)
+	}
+	for _, keys := range byBucket {
+		if state := b.ask(t, 0, keys[0], "first"); state != wire.ClaimGranted {
+			t.Fatalf("first claim: %s", state)
+		}
+		end := wire.SettleRequest{Claim: claimOf(keys[0], "first"), Kept: &wire.KeptAnswer{Status: 200}}
+		if _, err := b.claims[0].settle(t.Context(), end); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, store := range b.stores {
+		store.cut.Store(true)
+	}
+	for _, keys := range byBucket {
+		for agent := range b.claims {
+			if _, err := b.claims[agent].claim(t.Context(), claimOf(keys[1], "new")); err == nil {
+				t.Fatal("granted without a store")
+			}
+		}
+		for agent := range b.claims {
+			answer, err := b.claims[agent].claim(t.Context(), claimOf(keys[0], "duplicate"))
+			if err != nil || answer.State != wire.ClaimAnswered {
+				t.Fatalf("duplicate through agent %d: %s, %v", agent, answer.State, err)
+			}
+		}
+	}
+}
