--- a/agent/authority.go
+++ b/agent/authority.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/keys"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
@@ -74,7 +75,7 @@
 func (a *Agent) checkAuthority(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.updateReady()
-		pause(ctx, authorityPeriod)
+		daemon.Sleep(ctx, authorityPeriod)
 	}
 }
 
--- a/agent/bucket.go
+++ b/agent/bucket.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/once"
 	"lacewingmount.dev/platform"
@@ -89,7 +90,7 @@
 	b.turn()
 	b.mu.Unlock()
 	for ctx.Err() == nil && !b.flushed() {
-		pause(ctx, 10*time.Millisecond)
+		daemon.Sleep(ctx, 10*time.Millisecond)
 	}
 }
 
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/once"
@@ -281,7 +282,7 @@
 		if ctx.Err() != nil {
 			return errs.New(errs.Conflict, "the bucket of the claim has no owner here", "try again")
 		}
-		pause(ctx, settlePoll)
+		daemon.Sleep(ctx, settlePoll)
 	}
 	return nil
 }
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
@@ -44,11 +45,11 @@
 	f := follower{agent: a, delay: retryFirst}
 	for ctx.Err() == nil {
 		if !a.listKnown.Load() && a.since(a.started) < staleAfter {
-			pause(ctx, jitter(retryFirst)) // who watches is not known yet
+			daemon.Sleep(ctx, jitter(retryFirst)) // who watches is not known yet
 			continue
 		}
 		if !a.asksStore() {
-			pause(ctx, jitter(membership.Period))
+			daemon.Sleep(ctx, jitter(membership.Period))
 			continue
 		}
 		if err := f.watch(ctx); err != nil {
@@ -112,7 +113,7 @@
 		f.agent.events.Add(timeline.Event{Kind: timeline.KindStoreLost, Reason: err.Error()})
 		f.agent.log.Warn("store lost", zap.Error(err))
 	}
-	pause(ctx, jitter(f.delay))
+	daemon.Sleep(ctx, jitter(f.delay))
 	most := retryMost
 	if !f.agent.watches() && f.agent.hearsPeers() {
 		most = retryMostOther
@@ -159,7 +160,7 @@
 		if err == nil && !a.watches() {
 			period = listPeriodOther
 		}
-		pause(ctx, jitter(period))
+		daemon.Sleep(ctx, jitter(period))
 	}
 }
 
@@ -174,12 +175,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/agent/lending.go
+++ b/agent/lending.go
@@ -211,6 +211,6 @@
 		if wait <= 0 {
 			return
 		}
-		pause(ctx, min(wait, lendingPeriod))
+		daemon.Sleep(ctx, min(wait, lendingPeriod))
 	}
 }
--- a/agent/shares.go
+++ b/agent/shares.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/limit"
 	"lacewingmount.dev/platform"
@@ -233,7 +234,7 @@
 			s.log.Info("shares returned", zap.Int("shares", s.held.Shares))
 			return
 		}
-		pause(ctx, jitter(sharesRetryMost))
+		daemon.Sleep(ctx, jitter(sharesRetryMost))
 	}
 }
 
--- a/agent/withdraw.go
+++ b/agent/withdraw.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
@@ -72,7 +73,7 @@
 func (a *Agent) recordWithdrawals(ctx context.Context) {
 	since := map[string]time.Time{} // first seen, by hash
 	for ctx.Err() == nil {
-		pause(ctx, jitter(recordPeriod))
+		daemon.Sleep(ctx, jitter(recordPeriod))
 		pending := a.overdue(since)
 		_, responsible, ok := a.peers.home("withdrawals")
 		if len(pending) == 0 || !ok || !responsible || a.storeAge() > staleAfter {
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/once"
 	"lacewingmount.dev/wire"
 )
@@ -60,7 +61,7 @@
 func (s claimStage) claim(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
 	answer, err := s.claimer.Claim(ctx, request)
 	for until := time.Now().Add(pendingWait); err == nil && answer.State == wire.ClaimPending; {
-		if time.Now().After(until) || !sleep(ctx, pendingPoll) {
+		if time.Now().After(until) || !daemon.Sleep(ctx, pendingPoll) {
 			break
 		}
 		next, nextErr := s.claimer.Claim(ctx, request)
--- a/entry/claimer.go
+++ b/entry/claimer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/wire"
 )
@@ -37,7 +38,7 @@
 		kind := errs.KindOf(err)
 		inDoubt = inDoubt || kind != errs.Unavailable
 		over := kind == errs.Unavailable && time.Since(started) > claimUnavailable
-		if over || kind == errs.Invalid || !sleep(ctx, claimRetry) {
+		if over || kind == errs.Invalid || !daemon.Sleep(ctx, claimRetry) {
 			if inDoubt {
 				go c.giveUp(request)
 			}
@@ -64,20 +65,8 @@
 func (c *AgentClaimer) Settle(ctx context.Context, request wire.SettleRequest) error {
 	for {
 		err := c.agent.Call(ctx, wire.MethodSettle, request, nil)
-		if err == nil || errs.KindOf(err) == errs.Invalid || !sleep(ctx, settleRetry) {
+		if err == nil || errs.KindOf(err) == errs.Invalid || !daemon.Sleep(ctx, settleRetry) {
 			return err
 		}
 	}
 }
-
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/timeline"
 	"lacewingmount.dev/wire"
 )
@@ -26,7 +27,7 @@
 			err = e.adopt(snapshot)
 		}
 		if err != nil {
-			pause(ctx, snapshotRetry)
+			daemon.Sleep(ctx, snapshotRetry)
 		}
 	}
 }
@@ -94,12 +95,3 @@
 	}
 	return next, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/report.go
+++ b/entry/report.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/wire"
 )
 
@@ -102,7 +103,7 @@
 func (e *Entry) watchAuthority(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.updateReady()
-		pause(ctx, authorityPeriod)
+		daemon.Sleep(ctx, authorityPeriod)
 	}
 }
 
--- a/health/healthbench/failures_test.go
+++ b/health/healthbench/failures_test.go
@@ -15,23 +15,27 @@
 				b.Messages = Messages{Lost: 0.1, Doubled: 0.1, Late: 0.1}
 				b.Run(settle)
 				Faults[fault].Apply(b.Backends[3])
-				if took, ok := awaitOut(b, 3); !ok {
-					t.Errorf("still in service after %s", took)
-				}
+				expectOut(t, b, 3)
 				expectEjected(t, b, 3)
 			})
 		}
 	}
 }
 
+// expectOut runs the bench until the server has left service.
+func expectOut(t *testing.T, b *Bench, index int) {
+	t.Helper()
+	if took, ok := awaitOut(b, index); !ok {
+		t.Fatalf("still in service after %s", took)
+	}
+}
+
 // TestHomeDies lets the home die after it ejected a server. The next home
 // learns of the ejection from the VMs, before it has evidence of its own.
 func TestHomeDies(t *testing.T) {
 	b := newBench("bookshelf", 22)
 	b.Backends[3].Errors = 1
-	if took, ok := awaitOut(b, 3); !ok {
-		t.Fatalf("still in service after %s", took)
-	}
+	expectOut(t, b, 3)
 	b.dead[0] = true
 	b.Run(3 * time.Second)
 	if b.judges[1] == nil || b.Usable(3) > 0.1 {
@@ -47,9 +51,7 @@
 	b.homeOf = func(vm *VM) []int { return []int{vm.index % 2, 2} }
 	b.Run(settle)
 	b.Backends[3].Hang = true
-	if took, ok := awaitOut(b, 3); !ok {
-		t.Errorf("still in service after %s", took)
-	}
+	expectOut(t, b, 3)
 	expectEjected(t, b, 3)
 }
 
@@ -58,9 +60,7 @@
 func TestHomeUnreachable(t *testing.T) {
 	b := newBench("bookshelf", 24)
 	b.Backends[3].Errors = 1
-	if took, ok := awaitOut(b, 3); !ok {
-		t.Fatalf("still in service after %s", took)
-	}
+	expectOut(t, b, 3)
 	b.dead[0], b.dead[1] = true, true
 	b.Backends[3].Errors = 0
 	b.Run(10 * time.Second)
--- /dev/null
+++ b/limit/world_test.go
@@ -0,0 +1,131 @@
+package limit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// epoch is when every simulated fleet starts.
+var epoch = time.Unix(1_800_000_000, 0)
+
+// event is a function that runs at a moment of true time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type schedule []event
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || (s[i].at == s[j].at && s[i].seq < s[j].seq)
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(event)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// world runs events in the order of true time.
+type world struct {
+	random *rand.Rand
+	now    time.Duration
+	events schedule
+	seq    int
+}
+
+func newWorld(seed uint64) *world { return &world{random: rand.New(rand.NewPCG(seed, seed))} }
+
+func (w *world) at(at time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: max(at, w.now), seq: w.seq, run: run})
+}
+
+func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
+
+func (w *world) runUntil(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// network decides what happens to a message.
+type network struct {
+	loss, double float64       // parts of all messages
+	late         float64       // part that is delayed by up to lateBy
+	lateBy       time.Duration // so that messages overtake each other
+	cut          func(from, to int) bool
+	delay        func(from, to int) time.Duration
+}
+
+// deliver returns the delays of the copies of a message that arrive.
+func (w *world) deliver(net *network, from, to int) []time.Duration {
+	var delays []time.Duration
+	copies := 1
+	if w.random.Float64() < net.double {
+		copies = 2
+	}
+	for range copies {
+		if w.random.Float64() < net.loss || net.cut(from, to) {
+			continue
+		}
+		delay := net.delay(from, to)
+		if net.late > 0 && w.random.Float64() < net.late {
+			delay += time.Duration(w.random.Int64N(int64(net.lateBy)))
+		}
+		delays = append(delays, delay)
+	}
+	return delays
+}
+
+func (w *world) between(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(w.random.Int64N(int64(longest-shortest)))
+}
+
+// meter checks the bound on every window of one account: usage <= burst + rate*length.
+type meter struct {
+	quota    Quota
+	level    float64
+	at       time.Duration
+	admitted int
+	over     int // requests beyond the bound
+}
+
+func newMeter(quota Quota) *meter { return &meter{quota: quota, level: quota.Burst} }
+
+func (m *meter) advance(now time.Duration) {
+	m.level = min(m.quota.Burst, m.level+(now-m.at).Seconds()*m.quota.Rate)
+	m.at = now
+}
+
+func (m *meter) use(now time.Duration) {
+	m.advance(now)
+	m.admitted++
+	m.level--
+	if m.level < -1e-6 {
+		m.over++
+		m.level++
+	}
+}
+
+// central is the reference: one bucket that sees every request at once.
+type central struct {
+	meter
+}
+
+func (c *central) admit(now time.Duration) bool {
+	c.advance(now)
+	if c.level < 1 {
+		return false
+	}
+	c.level--
+	c.admitted++
+	return true
+}
