gateway: log when callers are no longer served; name the reply limit

Cause: the result of Serve was dropped, so a listener that failed left a VM without callers and without a line; the limit of held replies had no name; three tests of the floor counted idle servers in loops of their own. Ruled out: ending the process on such an error; nothing restarts it at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -108,7 +109,11 @@
 		return err
 	}
 	server := &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	go func() { _ = server.Serve(callers) }()
+	go func() {
+		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("callers are no longer served; restart the VM", zap.Error(err))
+		}
+	}()
 	go g.mesh.receive(life, func(from string, k kind, body *msgpack.Decoder) error { return g.handle(life, from, k, body) })
 	registration, unregister := context.WithCancel(life)
 	defer unregister()
@@ -153,7 +158,9 @@
 	for g.active.Load() > 0 && time.Since(began) < g.settings.Terms.Grace-graceMargin {
 		time.Sleep(idleCheck)
 	}
-	_ = server.Close()
+	if err := server.Close(); err != nil {
+		g.log.Warn("listener not closed", zap.Error(err))
+	}
 	unregister()
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -14,6 +14,7 @@
 	askRepeat   = 15 * time.Millisecond  // datagrams are lost at times; a crossing of a zone takes about 1 ms
 	askTimeout  = 60 * time.Millisecond  // a home that says nothing by then is passed over
 	queueRepeat = 250 * time.Millisecond // a decision about a queued request may have been lost
+	maxReplies  = 4                      // held for a request that has not read them yet: one for each copy of its question
 )
 
 // placed is the decision about a request, and who made it.
@@ -32,7 +33,7 @@
 
 // expect registers a request that waits for replies.
 func (g *Gateway) expect(seq uint64) chan reply {
-	replies := make(chan reply, 4) // an answer for each copy of the question
+	replies := make(chan reply, maxReplies)
 	g.pendingMu.Lock()
 	defer g.pendingMu.Unlock()
 	g.pending[seq] = replies
--- a/placement/floor_test.go
+++ b/placement/floor_test.go
@@ -26,12 +26,7 @@
 			w.broker.End(w.now, AskID{VM: "vm1"}, "", Unadmitted, 0)
 		}
 	}
-	idle := 0
-	for _, s := range w.broker.order {
-		if w.now.Sub(w.used[s.ID]) > 2*time.Second {
-			idle++
-		}
-	}
+	idle := w.idleServers()
 	if share := float64(idle) / float64(len(w.broker.order)); share > 1-testPolicy.MinServers {
 		t.Errorf("%d of %d sound servers have been idle for 2 s", idle, len(w.broker.order))
 	}
@@ -43,12 +38,7 @@
 	w.run(10*time.Second, 8, nil)
 	for range 10 {
 		w.run(2*time.Second, 8, nil)
-		idle := 0
-		for _, s := range w.broker.order {
-			if w.now.Sub(w.used[s.ID]) > 2*time.Second {
-				idle++
-			}
-		}
+		idle := w.idleServers()
 		if share := float64(idle) / 6; share > 1-testPolicy.MinServers {
 			t.Errorf("%d of 6 sound servers have been idle for 2 s", idle)
 		}
@@ -88,12 +78,7 @@
 	w.run(5*time.Second, 70, nil)
 	for range 20 {
 		w.run(500*time.Millisecond, 70, nil)
-		idle := 0
-		for _, s := range w.broker.order {
-			if w.now.Sub(w.used[s.ID]) > 2*time.Second {
-				idle++
-			}
-		}
+		idle := w.idleServers()
 		if idle > 2 {
 			t.Errorf("%d of 19 servers have been idle for 2 s", idle)
 		}
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -121,3 +121,14 @@
 	}
 	return n
 }
+
+// idleServers counts the servers that the operators no longer count as in use.
+func (w *world) idleServers() int {
+	idle := 0
+	for _, s := range w.broker.order {
+		if w.now.Sub(w.used[s.ID]) > 2*time.Second {
+			idle++
+		}
+	}
+	return idle
+}
