lacewingctl explain: from a request's id to its cause over collected logs

Cause: docs/OPERATIONS.md led from an id to its cause by searching by hand. Ruled out: asking the processes, as the time line does: on the users' platform only logs and metrics are left after a failure. Change: module requestlog holds the form of the tries in a request's line (gateway writes it, lacewingctl reads it), reads collected lines and says the causes in words, with the lines of home, VM and servers that bear on the request.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -19,6 +19,7 @@
 	Status     StatusCommand     `cmd:"" help:"Show the state of each VM: revision, freshness, requests in flight."`
 	Timeline   TimelineCommand   `cmd:"" help:"Merge the time lines of processes."`
 	Capacity   CapacityCommand   `cmd:"" help:"Work out what the fleet needs at a size."`
+	Explain    ExplainCommand    `cmd:"" help:"Tell from collected logs of the gateways why a request ended as it did."`
 }
 
 // StoreFlags say where the platform is and who is asking.
--- /dev/null
+++ b/ctl/explain.go
@@ -0,0 +1,52 @@
+package ctl
+
+import (
+	"io"
+	"os"
+
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/requestlog"
+)
+
+// ExplainCommand tells from collected logs of the gateways why a request ended as it did.
+type ExplainCommand struct {
+	Request string   `arg:"" help:"Id of the request."`
+	Logs    []string `arg:"" help:"Files with the lines of all VMs, in any order; - for standard input." placeholder:"FILE"`
+}
+
+// Run implements the command.
+func (c *ExplainCommand) Run(env *Env) error {
+	var lines []requestlog.Line
+	for _, path := range c.Logs {
+		read, err := readLog(path, c.Request)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	e, err := requestlog.Explain(lines, c.Request)
+	if err != nil {
+		return err
+	}
+	env.printf("%s\n", e.Request.Text)
+	for _, cause := range e.Causes {
+		env.printf("- %s\n", cause)
+	}
+	for _, line := range e.Around {
+		env.printf("%+8.3fs %s\n", line.At.Sub(e.Request.At).Seconds(), line.Text)
+	}
+	return nil
+}
+
+func readLog(path, request string) ([]requestlog.Line, error) {
+	var in io.Reader = os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errs.Wrap(err, errs.Invalid, "log cannot be opened", "pass files with the lines of all VMs")
+		}
+		defer func() { _ = file.Close() }() // was only read
+		in = file
+	}
+	return requestlog.Read(in, request)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -16,6 +16,7 @@
 
 	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform"
+	"lacewingmount.dev/requestlog"
 )
 
 const (
@@ -44,16 +45,10 @@
 	refused  *placed // the decision that ended the request; nil if there was none
 }
 
-// try is one server that a request was sent to, for the log.
+// try is one server that a request was sent to.
 type try struct {
-	server  string
 	outcome placement.Outcome
-	took    time.Duration
-	failing float64
-	queued  time.Duration
-	home    string
-	own     bool
-	reused  bool
+	logged  requestlog.Try
 }
 
 // refusal ends a request with an answer of the gateway's own.
@@ -219,10 +214,10 @@
 	x := q.g.backend.try(ctx, server, &sent, q.due)
 	q.g.running.remove(q.service, seq)
 	q.g.finish(q.service, seq, server.ID, x.outcome, x.took, decision.Home)
-	q.tries = append(q.tries, try{
-		server: server.ID, outcome: x.outcome, took: x.took, failing: decision.Failing,
-		queued: decision.Waited, home: decision.Home, own: decision.Own, reused: x.reused,
-	})
+	q.tries = append(q.tries, try{x.outcome, requestlog.Try{
+		Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
+		Queued: decision.Waited, Home: decision.Home, Alone: decision.Own, Reused: x.reused,
+	}})
 	return x
 }
 
@@ -384,31 +379,20 @@
 			zap.Duration("waited", q.refused.Waited), zap.Duration("retry_after", q.refused.RetryAfter))
 	}
 	if len(q.tries) > 0 {
-		fields = append(fields, zap.String("tries", formatTries(q.tries)))
+		fields = append(fields, zap.String("tries", requestlog.FormatTries(q.loggedTries())))
 	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
-	q.g.log.Info("request", fields...)
+	q.g.log.Info(requestlog.RequestMessage, fields...)
 }
 
-// formatTries writes server:outcome:milliseconds:failing:queued:home for each try.
-func formatTries(tries []try) string {
-	var text strings.Builder
-	for i, t := range tries {
-		if i > 0 {
-			text.WriteByte(' ')
-		}
-		text.WriteString(t.server + ":" + t.outcome.String() + ":" + strconv.FormatInt(t.took.Milliseconds(), 10) + "ms:failing=" +
-			strconv.FormatFloat(t.failing, 'f', 2, 64) + ":queued=" + strconv.FormatInt(t.queued.Milliseconds(), 10) + "ms:home=" + t.home)
-		if t.own {
-			text.WriteString(":alone")
-		}
-		if t.reused {
-			text.WriteString(":reused")
-		}
+func (q *request) loggedTries() []requestlog.Try {
+	tries := make([]requestlog.Try, len(q.tries))
+	for i, t := range q.tries {
+		tries[i] = t.logged
 	}
-	return text.String()
+	return tries
 }
 
 // hopByHop are the headers that concern one connection only.
