--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -32,12 +32,11 @@
 type deployment struct {
 	kind    string // of the route at /r/
 	timeout string
-	keys    string
+	key     string // of the only account
 	rate    int
-	extra   string // further routes
 }
 
-var usual = deployment{kind: "unsafe", timeout: "2000ms", keys: `"k1"`}
+var usual = deployment{kind: "unsafe", timeout: "2000ms", key: "k1"}
 
 func newFleet(t *testing.T, servers int) *fleet {
 	t.Helper()
@@ -56,11 +55,11 @@
 // configure writes the next version of the configuration.
 func (f *fleet) configure(d deployment) {
 	f.version++
-	f.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":"%08x","routes":{
-"r":{"hostname":"h.example","pathPrefix":"/r/","routeType":%q,"timeout":%q,"targetLatency":"1000ms","priority":1,"service":"svc","maxAttempts":2}%s},
-"services":{"svc":{"healthCheckPath":"/health","maxConnections":100}},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3000ms","idleTimeout":"15000ms"},
-"tenants":{"acc":{"apiKeys":[%s],"priority":0,"ratePerS":%d,"burst":%d}}}`, f.version, d.kind, d.timeout, d.extra, d.keys, d.rate, d.rate))
+	f.store.Put(platform.ConfigKey, platformtest.Configuration{
+		Version:  f.version,
+		Routes:   []platformtest.Route{{Name: "r", Prefix: "/r/", Kind: d.kind, Timeout: d.timeout, Service: "svc", Attempts: 2}},
+		Accounts: []platformtest.Account{{Name: "acc", Keys: []string{d.key}, Rate: d.rate, Burst: d.rate}},
+	}.Encode())
 }
 
 // vm is a running Gateway.
@@ -77,9 +76,11 @@
 	terms := platform.Terms{
 		Grace: 4 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 64, MinServers: 0.7,
 	}
+	ports := platformtest.FreePorts(f.t, 3)
+	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	settings := platform.Settings{
-		VM: name, Zone: "z1", IP: "127.0.0.1", CallerAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t),
-		FleetPort: freePort(f.t), Store: f.address, Terms: terms,
+		VM: name, Zone: "z1", IP: "127.0.0.1", CallerAddress: address(ports[0]), ReadyAddress: address(ports[1]),
+		FleetPort: ports[2], Store: f.address, Terms: terms,
 	}
 	g, err := New(settings, zap.NewNop())
 	if err != nil {
@@ -146,15 +147,11 @@
 	f.t.Helper()
 	f.seq++
 	id := "req" + strconv.Itoa(f.seq)
-	request, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
+	request, err := platformtest.Call{ID: id, Method: method, Path: path, Key: key, Body: body, Deadline: 3 * time.Second}.Request()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	request.Host = "h.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "3000")
-	request.Header.Set("Key", key)
-	request.Header.Set("Tenant", "forged")
+	request.URL.Host = v.callers
 	started := time.Now()
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -189,28 +186,3 @@
 		s.Behave(func(id string) platformtest.Behavior { return behavior(s, id) })
 	}
 }
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	return net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t)))
-}
-
-// freePort returns a port that is free for TCP and UDP.
-func freePort(t *testing.T) int {
-	t.Helper()
-	for range 20 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := listener.Addr().(*net.TCPAddr).Port
-		packets, err := net.ListenPacket("udp", listener.Addr().String())
-		_ = listener.Close()
-		if err == nil {
-			_ = packets.Close()
-			return port
-		}
-	}
-	t.Fatal("no port is free")
-	return 0
-}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -287,7 +287,7 @@
 	if n := ownPlacements.Get() - alone; n > 0 {
 		t.Errorf("%d of 30 placements without the home", n)
 	}
-	f.configure(deployment{kind: "unsafe", timeout: "2000ms", keys: `"k2"`})
+	f.configure(deployment{kind: "unsafe", timeout: "2000ms", key: "k2"})
 	f.until("the new key is in force on all VMs", func() bool {
 		for _, v := range vms {
 			if v.table.Load().config.Version != uint64(f.version) {
@@ -306,7 +306,7 @@
 	if r := f.call(v, http.MethodPost, "/r/", "k1", "order", client); r.status != http.StatusOK {
 		t.Fatalf("%+v", r)
 	}
-	f.configure(deployment{kind: "unsafe", timeout: "2000ms", keys: `"k2"`})
+	f.configure(deployment{kind: "unsafe", timeout: "2000ms", key: "k2"})
 	f.until("the key is refused", func() bool {
 		return f.call(v, http.MethodPost, "/r/", "k1", "order", client).status == http.StatusUnauthorized
 	})
@@ -345,7 +345,7 @@
 	if r := f.call(v, http.MethodPost, "/r/", "k1", "order", nil); r.status != http.StatusOK {
 		t.Errorf("while the store is away: %+v", r)
 	}
-	f.configure(deployment{kind: "unsafe", timeout: "2000ms", keys: `"k2"`})
+	f.configure(deployment{kind: "unsafe", timeout: "2000ms", key: "k2"})
 	f.store.DropHistory()
 	f.store.SetFaults(platformtest.StoreFaults{})
 	f.until("the configuration is caught up with", func() bool { return v.table.Load().config.Version == uint64(f.version) })
--- a/standin/link.go
+++ b/standin/link.go
@@ -30,6 +30,7 @@
 	CutForward  bool          `json:"cut_forward"`  // from the caller to the target
 	CutBackward bool          `json:"cut_backward"` // from the target to the caller
 	SilenceOld  bool          `json:"silence_old"`  // connections open now go silent for good; new ones work
+	ResetOld    bool          `json:"reset_old"`    // connections open now are reset; new ones work
 	Delay       time.Duration `json:"delay"`        // added to each read, nanoseconds
 }
 
@@ -39,10 +40,12 @@
 	mu     sync.Mutex
 	faults LinkFaults
 	era    int // connections of an earlier era are silent
+	open   map[*net.TCPConn]bool
+	ended  <-chan struct{}
 }
 
 // NewLink returns a link to target without faults.
-func NewLink(target string) *Link { return &Link{target: target} }
+func NewLink(target string) *Link { return &Link{target: target, open: map[*net.TCPConn]bool{}} }
 
 // SetFaults changes the faults.
 func (l *Link) SetFaults(faults LinkFaults) {
@@ -52,10 +55,29 @@
 	if faults.SilenceOld {
 		l.era++
 	}
+	if !faults.ResetOld {
+		return
+	}
+	for conn := range l.open {
+		_ = conn.SetLinger(0) // fails only on a connection that is closed already, as does Close
+		_ = conn.Close()
+	}
+}
+
+// track remembers a connection while it is open.
+func (l *Link) track(conn net.Conn, isOpen bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !isOpen {
+		delete(l.open, conn.(*net.TCPConn))
+		return
+	}
+	l.open[conn.(*net.TCPConn)] = true
 }
 
 // Serve carries connections until ctx ends.
 func (l *Link) Serve(ctx context.Context, listener net.Listener) {
+	l.ended = ctx.Done()
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	for {
 		conn, err := listener.Accept()
@@ -75,10 +97,14 @@
 	l.mu.Lock()
 	era := l.era
 	l.mu.Unlock()
+	l.track(caller, true)
+	l.track(target, true)
 	var both sync.WaitGroup
 	both.Go(func() { l.copy(target, caller, era, true) })
 	both.Go(func() { l.copy(caller, target, era, false) })
 	both.Wait()
+	l.track(caller, false)
+	l.track(target, false)
 }
 
 // copy moves bytes of one direction until either side closes.
@@ -96,7 +122,7 @@
 			}
 		}
 		if err == io.EOF && cut {
-			select {} // a cut path does not tell the other side of a close either
+			<-l.ended // a cut path does not tell the other side of a close either
 		}
 		if err != nil {
 			return
