gateway: homes and readers of the store are VMs with the most processor time

Cause: on the grown deployments most VMs have 0.16 of a core and ten have 0.8. Change: a VM tells its processor time (from the settings file); homes and the first readers are the VMs with at least half of that of the fourth strongest. Base deployments have equal VMs; nothing changes there.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -85,7 +85,7 @@
 
 // rank is this VM's place in the order of readers.
 func (f *follower) rank() int {
-	for i, member := range membership.Rank(f.g.peers.candidates(), "reader") {
+	for i, member := range f.g.peers.readers() {
 		if member.Name == f.g.self.Name {
 			return i
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,7 @@
 func New(settings platform.Settings, log *zap.Logger) (*Gateway, error) {
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.FleetPort))
 	incarnation := uint64(time.Now().UnixNano())
-	self := membership.Member{Name: settings.VM, Zone: settings.Zone, Address: address, Incarnation: incarnation}
+	self := membership.Member{Name: settings.VM, Zone: settings.Zone, Address: address, Incarnation: incarnation, Capacity: settings.Cores}
 	m, err := openMesh(address, self.Name, log)
 	if err != nil {
 		return nil, err
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,7 +30,8 @@
 	mu        sync.Mutex
 	self      membership.Member
 	members   map[string]membership.Member
-	list      []membership.Member // of members that may be homes
+	list      []membership.Member // of members that may be homes or readers
+	strong    []membership.Member // of list; homes as long as there are some
 	suspected map[string]time.Time
 	heardAt   map[string]time.Time         // newest message of each VM
 	homes     map[string]membership.Member // by key, until the list changes
@@ -48,6 +50,7 @@
 			p.list = append(p.list, member)
 		}
 	}
+	p.strong = membership.Strong(p.list, minGroups)
 	p.homes = map[string]membership.Member{}
 }
 
@@ -126,7 +129,7 @@
 	if home, ok := p.homes[key]; ok {
 		return home
 	}
-	home, ok := membership.Home(p.list, key)
+	home, ok := membership.Home(p.strong, key)
 	if !ok {
 		home = p.self
 	}
@@ -282,9 +285,19 @@
 	return q.pool.TakeOwn(now, account.Name, limit.Quota{Rate: account.Rate, Burst: account.Burst}, vms)
 }
 
-// candidates returns the members that may be homes or readers.
-func (p *peers) candidates() []membership.Member {
+// readers returns the members in the order in which they read the store for all:
+// the strong ones first.
+func (p *peers) readers() []membership.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]membership.Member(nil), p.list...)
+	order := membership.Rank(p.strong, readerKey)
+	for _, member := range membership.Rank(p.list, readerKey) {
+		if !slices.Contains(p.strong, member) {
+			order = append(order, member)
+		}
+	}
+	return order
 }
+
+// readerKey ranks the VMs as readers of the store.
+const readerKey = "reader"
--- a/membership/home.go
+++ b/membership/home.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Member is one VM as its peers know it.
 type Member struct {
@@ -9,6 +13,30 @@
 	Address     string `json:"address"`               // of its agent
 	Incarnation uint64 `json:"incarnation,omitempty"` // rises with each start of the agent; 0 if not known
 	Leaving     bool   `json:"leaving,omitempty"`
+	// Capacity is the processor time that the VM has, in cores; 0 if not known.
+	Capacity float64 `json:"capacity,omitempty"`
+}
+
+// Strong returns the members that have at least half of the capacity of the n-th
+// strongest, so that work that falls to one member does not fall to a weak one
+// while there are n others.
+func Strong(members []Member, n int) []Member {
+	if len(members) <= n {
+		return members
+	}
+	capacities := make([]float64, len(members))
+	for i, member := range members {
+		capacities[i] = member.Capacity
+	}
+	slices.Sort(capacities)
+	enough := capacities[len(capacities)-n] / 2
+	var strong []Member
+	for _, member := range members {
+		if member.Capacity >= enough {
+			strong = append(strong, member)
+		}
+	}
+	return strong
 }
 
 // Home returns the member that is responsible for key by rendezvous hashing:
--- a/membership/home_test.go
+++ b/membership/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -27,3 +28,26 @@
 		}
 	}
 }
+
+func TestStrongMembersArePreferredWhileThereAreEnough(t *testing.T) {
+	var members []Member
+	for i, capacity := range []float64{0.8, 0.16, 0.8, 0.16, 0.6, 0.16, 0.8, 0} {
+		members = append(members, Member{Name: fmt.Sprintf("vm-%d", i), Capacity: capacity})
+	}
+	names := func(members []Member) string {
+		var list []string
+		for _, m := range members {
+			list = append(list, m.Name)
+		}
+		return strings.Join(list, " ")
+	}
+	if got := names(Strong(members, 4)); got != "vm-0 vm-2 vm-4 vm-6" {
+		t.Errorf("with four strong members: %s", got)
+	}
+	if got := names(Strong(members[1:], 4)); got != "vm-1 vm-2 vm-3 vm-4 vm-5 vm-6" {
+		t.Errorf("with three strong members: %s", got)
+	}
+	if got := names(Strong(members[6:], 4)); got != "vm-6 vm-7" {
+		t.Errorf("with two members: %s", got)
+	}
+}
