gateway: 20 ms of grace before a home is suspected

Ruled out: slow homes alone (both homes answered all others at that moment). Change: after the time-out the request waits 20 ms more, once.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -12,7 +12,8 @@
 
 const (
 	askRepeat   = 15 * time.Millisecond  // datagrams are lost at times; a crossing of a zone takes about 1 ms
-	askTimeout  = 60 * time.Millisecond  // a home that says nothing by then is passed over
+	askTimeout  = 60 * time.Millisecond  // a home that says nothing by then and for askGrace is passed over
+	askGrace    = 20 * time.Millisecond  // a VM that stood still itself still has to read the answers that came meanwhile
 	queueRepeat = 250 * time.Millisecond // a decision about a queued request may have been lost
 	maxReplies  = 4                      // held for a request that has not read them yet: one for each copy of its question
 )
@@ -80,6 +81,7 @@
 	defer repeat.Stop()
 	question := &take{Account: account.Name, Seq: seq}
 	g.mesh.send(home.Address, kindTake, question)
+	graced := false
 	for {
 		select {
 		case r := <-replies:
@@ -90,6 +92,11 @@
 		case <-repeat.C:
 			g.mesh.send(home.Address, kindTake, question)
 		case <-timeout.C:
+			if !graced {
+				graced = true
+				timeout.Reset(askGrace)
+				continue
+			}
 			g.suspect(home.Name, "no answer about an account")
 			return g.admitAlone(account)
 		case <-ctx.Done():
@@ -128,7 +135,7 @@
 	defer timeout.Stop()
 	again := time.NewTimer(askRepeat)
 	defer again.Stop()
-	queued := false
+	queued, graced := false, false
 	for {
 		select {
 		case r := <-replies:
@@ -136,7 +143,7 @@
 			case r.ask == nil || r.ask.NotHome:
 				return g.placeAlone(service, a)
 			case r.ask.Verdict == placement.Queued:
-				queued = true
+				queued, graced = true, false
 				timeout.Reset(a.Left)
 				again.Reset(queueRepeat)
 			default:
@@ -156,6 +163,11 @@
 				timeout.Reset(queueRepeat / 2)
 			}
 		case <-timeout.C:
+			if !graced {
+				graced = true
+				timeout.Reset(askGrace)
+				continue
+			}
 			if repeat != nil {
 				g.suspect(home, "no answer about a service")
 				g.sendEnd(service, a.ID.Seq, "", placement.Unused, 0, home)
