--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -213,7 +213,9 @@
 		f.g.log.Warn("configuration refused", zap.Error(err))
 	}
 	if effect.Config != nil {
-		f.g.table.Store(newTable(effect.Config))
+		if f.g.table.Swap(newTable(effect.Config)) == nil {
+			close(f.g.loaded)
+		}
 		f.g.log.Info("configuration in force", zap.Uint64("config", effect.Config.Version), zap.String("source", source))
 	}
 	if effect.VMs {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	client   *http.Client // of contents of other VMs
 
 	table     atomic.Pointer[table]
+	loaded    chan struct{}                              // closed when there is a first table
 	servers   atomic.Pointer[map[string]platform.Server] // by ID
 	homes     *brokers                                   // of services that have their home here
 	own       *brokers                                   // of this VM's own requests
@@ -81,7 +82,7 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		homes:   newBrokers(policy, incarnation), own: newBrokers(policy, incarnation),
 		quotas: newQuotas(), ownQuotas: newQuotas(), running: newInFlight(),
-		pending: map[uint64]chan reply{}, refuseAfter: refuseAfter,
+		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, refuseAfter: refuseAfter,
 	}
 	g.homes.changed = g.logBelief
 	g.seq.Store(incarnation) // numbers of an earlier start must not come again
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -23,7 +23,8 @@
 	defaultDeadline = 30 * time.Second       // of a caller that does not say how long it waits
 	answerMargin    = 30 * time.Millisecond  // between the server's deadline and the caller's final answer
 	minServerTime   = 100 * time.Millisecond // a server that gets less cannot finish
-	startRetry      = 500 * time.Millisecond // for callers of a VM that knows no configuration yet
+	startWait       = 800 * time.Millisecond // of a caller for the first configuration; a start takes up to so long on a sixth of a core
+	startRetry      = 500 * time.Millisecond // for callers of a VM that knows no configuration even then
 	leaveRetry      = 100 * time.Millisecond // for callers of a VM that stops; others serve them at once
 	shedRetry       = 500 * time.Millisecond // after the servers that were tried had no room
 )
@@ -75,7 +76,7 @@
 }
 
 func (q *request) findRoute() *refusal {
-	q.table = q.g.table.Load()
+	q.table = q.g.firstTable(q.r.Context())
 	if q.table == nil {
 		return &refusal{http.StatusServiceUnavailable, startRetry, "no configuration yet"}
 	}
@@ -98,6 +99,22 @@
 	return nil
 }
 
+// firstTable returns the routes in force. A VM that has just started gets them
+// within moments, so a request waits a little for them; after a restart of all VMs
+// there is no better place for it.
+func (g *Gateway) firstTable(ctx context.Context) *table {
+	if t := g.table.Load(); t != nil {
+		return t
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	select {
+	case <-g.loaded:
+	case <-ctx.Done():
+	}
+	return g.table.Load()
+}
+
 func (q *request) identify() *refusal {
 	account, ok := q.table.account(q.route, q.caller.Key)
 	if !ok {
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// Load: all VMs have restarted, so callers reach one that knows nothing yet.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	f := newFleet(t, 2)
+	v := f.start("vm-1")
+	f.until("the VM listens", func() bool {
+		conn, err := net.Dial("tcp", v.callers)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+	time.AfterFunc(startWait/4, func() { f.configure(usual) })
+	if r := f.call(v, http.MethodPost, "/r/", "k1", "order", nil); r.status != http.StatusOK {
+		t.Errorf("%+v", r)
+	}
+}
+
 // Whatever a server does after it got a protected request, it runs once, and no
 // answer says that it did not run.
 func TestProtectedRequestRunsOnce(t *testing.T) {
