make demo plays the users' platform too; standin-deployment

Ruled out: lacewing-load with the platform's headers (wire names outside platform/). Change: standin-deployment (store, servers, callers, all from platformtest) writes the gateways' settings, sends requests while a server fails and reports; the demo then explains one failed request from the gateways' logs.

--- /dev/null
+++ b/cmd/standin-deployment/main.go
@@ -0,0 +1,208 @@
+// Command standin-deployment stands in for all that surrounds the gateways of a
+// small deployment of the users' platform: the store, backend servers and callers.
+// It writes the gateways' settings files, waits until they are ready, sends
+// requests while one server fails for some seconds, and prints what callers got.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/errs"
+	"lacewingmount.dev/platform"
+	"lacewingmount.dev/platform/platformtest"
+)
+
+const (
+	service      = "reading"
+	servers      = 6
+	callers      = 12
+	work         = 40 * time.Millisecond
+	callDeadline = 3 * time.Second
+	pause        = 50 * time.Millisecond // of a caller between two requests
+	startTime    = 10 * time.Second      // in which the gateways have to be ready
+	portsOfVM    = 3
+)
+
+type flags struct {
+	Settings  string        `arg:"" help:"Folder for the settings files, one for each VM."`
+	Listen    string        `required:"" help:"Address of the store." placeholder:"IP:PORT"`
+	FirstPort int           `default:"7600" help:"First port of the VMs; each takes three."`
+	VMs       int           `name:"vms" default:"3" help:"Number of VMs."`
+	Duration  time.Duration `default:"6s" help:"How long to send requests."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("standin-deployment"), kong.Description("Stands in for the store, servers and callers of a small deployment."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, f); err != nil {
+		fmt.Fprintf(os.Stderr, "standin-deployment: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, f flags) error {
+	store := platformtest.NewStore()
+	if err := daemon.ServeHTTP(ctx, f.Listen, store.Handler()); err != nil {
+		return err
+	}
+	store.Put(platform.ConfigKey, platformtest.Configuration{
+		Version: 1,
+		Routes: []platformtest.Route{
+			{Name: "read", Prefix: "/read/", Kind: "safe", Timeout: "2s", Service: service, Attempts: 2},
+			{Name: "order", Prefix: "/order/", Kind: "unsafe", Timeout: "2s", Service: service, Attempts: 2},
+		},
+		Accounts: []platformtest.Account{{Name: "readers", Keys: []string{"demo"}}},
+	}.Encode())
+	var started []*platformtest.Server
+	for i := range servers {
+		s, err := platformtest.StartServer(fmt.Sprintf("i-%d", i))
+		if err != nil {
+			return err
+		}
+		s.SetWork(work)
+		store.Put(platform.ServersPrefix+s.ID, s.Record(service, "ready", 1))
+		started = append(started, s)
+	}
+	vms, err := writeSettings(f)
+	if err != nil {
+		return err
+	}
+	if err := awaitReady(ctx, vms); err != nil {
+		return err
+	}
+	return sendAll(ctx, f, vms, started)
+}
+
+func writeSettings(f flags) ([]platformtest.VM, error) {
+	var vms []platformtest.VM
+	for i := range f.VMs {
+		port := f.FirstPort + i*portsOfVM
+		vm := platformtest.VM{
+			Name: fmt.Sprintf("vm-%d", i+1), IP: "127.0.0.1", Callers: port, Ready: port + 1, Fleet: port + 2, Store: f.Listen,
+			Bounds: platformtest.Bounds{Stable: 3 * time.Second, Drain: 2 * time.Second, Config: 2 * time.Second, Revoke: 5 * time.Second, Grace: 6 * time.Second, RetrySlack: 64, QuotaSlack: 20},
+		}
+		if err := os.WriteFile(filepath.Join(f.Settings, vm.Name+".settings"), []byte(vm.Settings()), 0o600); err != nil {
+			return nil, errs.Wrap(err, errs.Invalid, "settings file cannot be written", "pass a folder that exists")
+		}
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+func awaitReady(ctx context.Context, vms []platformtest.VM) error {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(startTime); ctx.Err() == nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, vm := range vms {
+			answer, err := client.Get(fmt.Sprintf("http://%s:%d%s", vm.IP, vm.Ready, platform.ReadyPath))
+			if err != nil {
+				continue // not up yet
+			}
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(vms) {
+			return nil
+		}
+	}
+	return errs.New(errs.Unavailable, "the gateways are not ready", "start one for each settings file and look at their logs")
+}
+
+// report counts what callers got.
+type report struct {
+	mu       sync.Mutex
+	statuses map[string]int
+	example  string // id of a request that a server failed
+}
+
+// sendAll sends requests through all VMs, while one server fails in the middle third.
+func sendAll(ctx context.Context, f flags, vms []platformtest.VM, started []*platformtest.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Duration)
+	defer cancel()
+	time.AfterFunc(f.Duration/3, func() { started[0].Behave(func(string) platformtest.Behavior { return platformtest.Fail }) })
+	time.AfterFunc(2*f.Duration/3, func() { started[0].Behave(func(string) platformtest.Behavior { return platformtest.Answer }) })
+	r := report{statuses: map[string]int{}}
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() { r.call(ctx, i, vms[i%len(vms)]) })
+	}
+	all.Wait()
+	return r.print(started)
+}
+
+func (r *report) call(ctx context.Context, caller int, vm platformtest.VM) {
+	connection, err := platformtest.Dial(net.JoinHostPort(vm.IP, fmt.Sprint(vm.Callers)), time.Second)
+	if err != nil {
+		r.count("no connection", "")
+		return
+	}
+	defer connection.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		c := platformtest.Call{ID: fmt.Sprintf("c%d-%d", caller, n), Method: http.MethodPost, Path: "/order/", Key: "demo", Body: "order", Deadline: callDeadline}
+		if n%3 == 0 {
+			c.Method, c.Path, c.Body = http.MethodGet, "/read/", ""
+		}
+		reply, err := connection.Do(c)
+		if err != nil {
+			r.count("cut off", c.ID)
+			return
+		}
+		r.count(fmt.Sprintf("status %d", reply.Status), c.ID)
+		time.Sleep(pause)
+	}
+}
+
+func (r *report) count(what, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statuses[what]++
+	if what == "status 500" {
+		r.example = id
+	}
+}
+
+// print writes the report; a protected request that ran twice is an error.
+func (r *report) print(started []*platformtest.Server) error {
+	runs, orders := 0, map[string]int{}
+	for _, s := range started {
+		for _, run := range s.Runs() {
+			runs++
+			if run.Method == http.MethodPost {
+				orders[run.ID]++
+			}
+		}
+	}
+	doubled := 0
+	for _, n := range orders {
+		if n > 1 {
+			doubled++
+		}
+	}
+	for what, n := range r.statuses {
+		fmt.Printf("%s: %d\n", what, n)
+	}
+	fmt.Printf("runs on servers: %d\nprotected requests that ran more than once: %d\n", runs, doubled)
+	if r.example != "" {
+		fmt.Printf("example %s\n", r.example)
+	}
+	if doubled > 0 || r.statuses["status 200"] == 0 {
+		return errs.New(errs.Conflict, "a promise is broken", "look at the logs of the gateways")
+	}
+	return nil
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,4 +96,22 @@
 for i in $(seq "$vms"); do admins+=("$net.100.$i:7101" "$net.100.$i:8001"); done
 bin/lacewingctl timeline --last 12 "${admins[@]}"
 [ "$doubled" = 0 ] || { echo "demo failed: a protected request ran twice" >&2; exit 1; }
+
+echo "--- users' platform: $vms gateways, one server fails for some seconds"
+bin/standin-deployment "$run" --listen "$net.0.3:7003" --vms "$vms" >"$run/deployment.txt" 2>"$run/deployment.log" &
+deployment=$!
+pids+=("$deployment")
+for i in $(seq "$vms"); do
+  settings=$run/vm-$i.settings
+  for _ in $(seq 50); do [ -s "$settings" ] && break || sleep 0.1; done
+  LACEWINGMOUNT_BOOT=$settings bin/lacewing-gateway >"$run/gateway-$i.log" 2>&1 &
+  pids+=($!)
+done
+wait "$deployment" || { cat "$run/deployment.log" >&2; exit 1; }
+cat "$run/deployment.txt"
+example=$(awk '/^example/ {print $2}' "$run/deployment.txt")
+if [ -n "$example" ]; then
+  echo "--- lacewingctl explain $example"
+  bin/lacewingctl explain "$example" "$run"/gateway-*.log
+fi
 echo "demo passed"
