placement: client accounts take turns while requests wait

Cause: waiting requests were served in order of arrival, so one account that floods a service without a rate of its own took the slots of all others: 478 of 1,200 requests of ten small accounts got a slot beside a flood of 600 a second. Ruled out: correcting the flood's estimate of its wait by how its requests fared (it swings by a factor of three, and small accounts with two waiting requests suffer). Change: each waiting request of an account comes a turn after the one before it; a new one is refused at once if what the other accounts leave cannot serve it in time, and one that waits as soon as others have taken its chance.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -256,7 +256,7 @@
 	decisions := g.homes.with(now, m.Service, func(b *placement.Broker) []placement.Decision {
 		return b.Ask(now, placement.Ask{
 			ID: placement.AskID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Retry: m.Retry,
+			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Retry: m.Retry, Account: m.Account,
 		})
 	})
 	g.decide(m.Service, decisions)
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -52,6 +52,7 @@
 		Bytes    int
 		Tried    []string
 		Retry    bool
+		Account  string
 	}
 
 	answer struct {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -167,7 +167,7 @@
 		} else {
 			question := &ask{
 				Service: service, Seq: a.ID.Seq, Safe: a.Safe, Priority: a.Priority,
-				Left: a.Left, Target: a.Target, Bytes: a.Bytes, Tried: a.Tried, Retry: a.Retry,
+				Left: a.Left, Target: a.Target, Bytes: a.Bytes, Tried: a.Tried, Retry: a.Retry, Account: a.Account,
 			}
 			send = func() { g.mesh.send(home.Address, kindAsk, question) }
 			send()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -175,7 +175,7 @@
 		}
 		a := placement.Ask{
 			ID: placement.AskID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Retry: reached > 0,
+			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Retry: reached > 0, Account: q.accountName(),
 		}
 		decision := q.g.place(ctx, q.service, a)
 		if decision.Verdict != placement.Granted {
@@ -221,10 +221,7 @@
 		q.g.own.adopt(q.g.now(), q.service, decision.ID, server.ID)
 	}
 	header := q.outbound.header.Clone()
-	forwarded := platform.Forwarded{ServerID: server.ID, Deadline: time.Until(q.due) - answerMargin}
-	if q.account != nil {
-		forwarded.Account = q.account.Name
-	}
+	forwarded := platform.Forwarded{ServerID: server.ID, Account: q.accountName(), Deadline: time.Until(q.due) - answerMargin}
 	forwarded.Apply(header)
 	sent := *q.outbound
 	sent.header = header
@@ -249,6 +246,14 @@
 	return last || x.sent && !q.route.Safe
 }
 
+// accountName is "" on routes open to all.
+func (q *request) accountName() string {
+	if q.account == nil {
+		return ""
+	}
+	return q.account.Name
+}
+
 // priority is the account's, which goes before the route's, if there is one.
 func (q *request) priority() int {
 	if q.account != nil && q.account.Priority > 0 {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -20,6 +20,7 @@
 	order   []*server // by ID, so that equal inputs give equal decisions
 	grants  map[AskID]*grant
 	queue   []*waiting
+	turns   turns
 	seen    map[string]time.Time // when a VM was last heard of
 	retries retryBudget
 	speed   speed
@@ -33,7 +34,7 @@
 // NewBroker returns a Broker without servers. seed breaks ties.
 func NewBroker(policy Policy, seed uint64) *Broker {
 	return &Broker{
-		servers: map[string]*server{}, grants: map[AskID]*grant{}, seen: map[string]time.Time{},
+		servers: map[string]*server{}, grants: map[AskID]*grant{}, seen: map[string]time.Time{}, turns: newTurns(),
 		retries: retryBudget{Budget: policy.Retries}, floor: floor{share: policy.MinServers}, share: failingShare{value: initialShare}, spell: spellLength{value: firstSpell}, speed: newSpeed(), random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -84,15 +85,17 @@
 		return []Decision{b.refuse(now, ask.ID, "retry budget is spent", b.retryAfter(now))}
 	}
 	w := &waiting{Ask: ask, since: now}
+	b.turns.join(now, w)
 	if len(b.queue) == 0 {
 		if s := b.choose(now, w, b.survey(now)); s != nil {
+			b.turns.granted(now, w)
 			return []Decision{b.grant(now, w, s)}
 		}
 	}
 	if reason := b.hopeless(now, w); reason != "" {
 		return []Decision{b.refuse(now, ask.ID, reason, b.retryAfter(now))}
 	}
-	b.enqueue(w)
+	b.enqueue(now, w)
 	decisions := b.dispatch(now)
 	for _, d := range decisions {
 		if d.ID == ask.ID {
@@ -113,7 +116,7 @@
 // End takes over the outcome of a request and returns what its slot decides.
 func (b *Broker) End(now time.Time, id AskID, serverID string, outcome Outcome, took time.Duration) []Decision {
 	b.seen[id.VM] = now
-	b.removeQueued(id)
+	b.removeQueued(now, func(w *waiting) bool { return w.ID == id })
 	b.release(id)
 	b.countEnd(now, outcome)
 	if s := b.servers[serverID]; s != nil {
@@ -155,7 +158,7 @@
 func (b *Broker) Tick(now time.Time) []Decision {
 	for vm, seen := range b.seen {
 		if now.Sub(seen) > grantLease {
-			b.forget(vm)
+			b.forget(now, vm)
 		}
 	}
 	for _, s := range b.order {
@@ -178,14 +181,14 @@
 func (b *Broker) InFlight() int { return len(b.grants) }
 
 // forget frees what a VM holds that is not heard of any more.
-func (b *Broker) forget(vm string) {
+func (b *Broker) forget(now time.Time, vm string) {
 	delete(b.seen, vm)
 	for id := range b.grants {
 		if id.VM == vm {
 			b.release(id)
 		}
 	}
-	b.queue = slices.DeleteFunc(b.queue, func(w *waiting) bool { return w.ID.VM == vm })
+	b.removeQueued(now, func(w *waiting) bool { return w.ID.VM == vm })
 }
 
 func (b *Broker) grant(now time.Time, w *waiting, s *server) Decision {
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -240,3 +240,30 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(w.seq), "us/request")
 }
+
+// Load: one client account asks for 600 requests a second, ten others for 12 each,
+// of 126 slots that serve 268. The flood costs the others nothing, and what is
+// left goes to it.
+func TestFloodByOneAccountCostsTheOthersNothing(t *testing.T) {
+	w := newWorld(21, 6)
+	const flood, others = 600, 120
+	asked := 0
+	isOther := func(seq uint64) bool { return seq%((flood+others)/others) == 0 }
+	w.run(10*time.Second, flood+others, func(a *Ask) {
+		a.Account = "flood"
+		if isOther(a.ID.Seq) {
+			a.Account = fmt.Sprintf("account-%d", a.ID.Seq%60/6)
+			asked++
+		}
+	})
+	w.run(2*time.Second, 0, nil)
+	if granted := w.grantsOf(isOther); granted < asked*98/100 {
+		t.Errorf("%d of %d requests of the other accounts got a slot", granted, asked)
+	}
+	if served := w.ended[Answered]; served < 2680*8/10 {
+		t.Errorf("%d requests are answered; the slots serve 2680", served)
+	}
+	if late := w.refused["waited too long"] + w.refused["the queue grew"]; late > 10*flood/50 {
+		t.Errorf("%d requests are refused after a wait", late)
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -12,6 +12,8 @@
 	dispatchDepth = 32                     // waiting requests that are looked at for a free slot
 	lateShare     = 0.5                    // part of the time left that a request which is late already may wait
 	admitShare    = 0.85                   // of its patience that a new request may have to wait; some servers fail meanwhile
+	lostShare     = 1.25                   // of its patience that a waiting request may have to wait; the estimate is off by about a fifth
+	minWait       = 10 * time.Microsecond  // of one request for a slot; no service has 100,000 a second at one home
 	usableFrom    = 0.6                    // probability of failing from which on a server is no capacity
 )
 
@@ -19,6 +21,7 @@
 type waiting struct {
 	Ask
 	since time.Time
+	turn  int // among the requests of its priority
 }
 
 func (w *waiting) triedBefore(s *server) bool { return slices.Contains(w.Tried, s.ID) }
@@ -33,15 +36,19 @@
 }
 
 // goesBefore orders by priority; retries go first, as they have waited for a
-// server that failed, then arrivals in their order.
+// server that failed, then accounts by turns, then arrivals in their order.
 func (w *waiting) goesBefore(other *waiting) bool {
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
-	return w.Retry && !other.Retry
+	if w.Retry != other.Retry {
+		return w.Retry
+	}
+	return w.turn < other.turn
 }
 
-func (b *Broker) enqueue(w *waiting) {
+func (b *Broker) enqueue(now time.Time, w *waiting) {
+	b.turns.queued(now, w)
 	at := len(b.queue)
 	for at > 0 && w.goesBefore(b.queue[at-1]) {
 		at--
@@ -53,8 +60,14 @@
 	return slices.ContainsFunc(b.queue, func(w *waiting) bool { return w.ID == id })
 }
 
-func (b *Broker) removeQueued(id AskID) {
-	b.queue = slices.DeleteFunc(b.queue, func(w *waiting) bool { return w.ID == id })
+func (b *Broker) removeQueued(now time.Time, leaves func(*waiting) bool) {
+	b.queue = slices.DeleteFunc(b.queue, func(w *waiting) bool {
+		if !leaves(w) {
+			return false
+		}
+		b.turns.left(now, w)
+		return true
+	})
 }
 
 // dispatch grants free slots to waiting requests, the first ones first.
@@ -72,22 +85,34 @@
 			continue
 		}
 		b.queue = slices.Delete(b.queue, i, i+1)
+		b.turns.left(now, w)
+		b.turns.granted(now, w)
 		decisions = append(decisions, b.grant(now, w, s))
 		view = b.survey(now)
 	}
 	return decisions
 }
 
-// expire refuses the requests that have waited as long as they may.
+// expire refuses the requests that have waited as long as they may, and those
+// that will, as others went before them.
 func (b *Broker) expire(now time.Time) []Decision {
 	var decisions []Decision
 	mean := b.speed.meanLatency()
+	ahead := 0
 	b.queue = slices.DeleteFunc(b.queue, func(w *waiting) bool {
-		if now.Sub(w.since) <= w.patience(mean) {
+		waited, patience, reason := now.Sub(w.since), w.patience(mean), ""
+		switch {
+		case waited > patience:
+			reason = "waited too long"
+		case waited+b.expectedWait(now, ahead) > time.Duration(lostShare*float64(patience)):
+			reason = "the queue grew"
+		default:
+			ahead++
 			return false
 		}
-		d := b.refuse(now, w.ID, "waited too long", b.retryAfter(now))
-		d.Waited = now.Sub(w.since)
+		b.turns.left(now, w)
+		d := b.refuse(now, w.ID, reason, b.retryAfter(now))
+		d.Waited = waited
 		decisions = append(decisions, d)
 		return true
 	})
@@ -111,7 +136,9 @@
 			ahead++
 		}
 	}
-	if b.expectedWait(now, ahead+1) > time.Duration(admitShare*float64(w.patience(b.speed.meanLatency()))) {
+	perSecond := 1 / max(minWait.Seconds(), b.expectedWait(now, 1).Seconds())
+	wait := max(b.expectedWait(now, ahead+1), b.turns.wait(now, w.Account, perSecond))
+	if wait > time.Duration(admitShare*float64(w.patience(b.speed.meanLatency()))) {
 		return "the queue is too long"
 	}
 	return ""
--- a/placement/types.go
+++ b/placement/types.go
@@ -22,6 +22,7 @@
 type Ask struct {
 	ID       AskID
 	Zone     string        // of the VM
+	Account  string        // client account; "" if it has none
 	Safe     bool          // may run again if its server fails
 	Priority int           // 0 is the most important
 	Left     time.Duration // after which nobody waits for the answer
