gateway: a home that stays silent is tried less and less often

Cause: a VM that lost power for good stays on the list for 30 s; each VM asked it anew every 2 s, and each time a request waited 80 ms in vain. Ruled out: never trying it again before it is heard (a VM that comes back from a cut reports to its own homes only); being vouched for covers that case sooner. Change: the span doubles with each suspicion since it was heard, up to 16 s.

--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -18,7 +18,8 @@
 const (
 	vmsPerGroup = 16                     // VMs for each group of services and accounts; a home serves few groups
 	minGroups   = 4                      // spreads the load and the harm of a loss
-	suspectTime = 2 * time.Second        // in which a home that did not answer is passed over
+	suspectTime = 2 * time.Second        // in which a home that did not answer is passed over at first; longer each time that it is silent again
+	maxDoubling = 3                      // of suspectTime; a VM that lost power for good stays on the list for 30 s
 	tickPeriod  = 50 * time.Millisecond  // of a home whose queue is not empty
 	idleTick    = 200 * time.Millisecond // of a home without a queue; grants of silent VMs end after 1.5 s
 	aliveTime   = 700 * time.Millisecond // since a VM's last message, in which it is vouched for; it reports each 500 ms
@@ -34,12 +35,13 @@
 	list      []membership.Member // of members that may be homes or readers
 	strong    []membership.Member // of list; homes as long as there are some
 	suspected map[string]time.Time
+	silences  map[string]int               // suspicions of a VM since it was heard last
 	heardAt   map[string]time.Time         // newest message of each VM
 	homes     map[string]membership.Member // by key, until the list changes
 }
 
 func newPeers(self membership.Member) *peers {
-	p := &peers{self: self, members: map[string]membership.Member{self.Name: self}, suspected: map[string]time.Time{}, heardAt: map[string]time.Time{}}
+	p := &peers{self: self, members: map[string]membership.Member{self.Name: self}, suspected: map[string]time.Time{}, silences: map[string]int{}, heardAt: map[string]time.Time{}}
 	p.rebuild()
 	return p
 }
@@ -85,6 +87,7 @@
 		if !listed[name] && now.Sub(p.heardAt[name]) > silentLife {
 			delete(p.members, name)
 			delete(p.heardAt, name)
+			delete(p.silences, name)
 		}
 	}
 	p.rebuild()
@@ -95,19 +98,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heardAt[name] = now
+	delete(p.silences, name)
 	if _, out := p.suspected[name]; out {
 		delete(p.suspected, name)
 		p.rebuild()
 	}
 }
 
-// suspect passes the VM over until it is heard again or for suspectTime. It
-// reports whether that is new.
+// suspect passes the VM over until it is heard again, vouched for, or some time is
+// over. It reports whether that is new.
 func (p *peers) suspect(now time.Time, name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, was := p.suspected[name]
-	p.suspected[name] = now.Add(suspectTime)
+	p.suspected[name] = now.Add(suspectTime << min(maxDoubling, p.silences[name]))
+	if !was {
+		p.silences[name]++
+	}
 	p.rebuild()
 	return !was
 }
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -38,3 +38,29 @@
 		t.Errorf("the silent VM %s is still the home", home.Name)
 	}
 }
+
+// A VM that lost power stays on the list for a while. It is tried less and less
+// often, until it is heard.
+func TestSilentHomeIsTriedLessOften(t *testing.T) {
+	p := newPeers(membership.Member{Name: "vm-0"})
+	p.learn(membership.Member{Name: "vm-1", Incarnation: 1})
+	now := time.Unix(1000, 0)
+	passedOver := func() time.Duration {
+		p.suspect(now, "vm-1")
+		began := now
+		for len(p.list) == 1 {
+			now = now.Add(100 * time.Millisecond)
+			p.retry(now)
+		}
+		return now.Sub(began).Round(time.Second)
+	}
+	for _, want := range []time.Duration{2, 4, 8, 16, 16} {
+		if got := passedOver(); got != want*time.Second {
+			t.Errorf("passed over for %v, want %v s", got, int(want))
+		}
+	}
+	p.heard(now, "vm-1")
+	if got := passedOver(); got != suspectTime {
+		t.Errorf("after it was heard: %v", got)
+	}
+}
