placement: only an account with many waiting requests is held to what others leave

Change: the estimate of an account applies from four waiting requests on, and the equal part is among the accounts that wait.

--- a/placement/turns.go
+++ b/placement/turns.go
@@ -9,6 +9,7 @@
 	usageFade  = time.Second     // in which the grants of an account lose their weight
 	usageLife  = 5 * time.Second // of an account without requests
 	turnMargin = 1.25            // of the estimated wait; what the others leave varies within a second
+	floodFrom  = 4               // waiting requests of an account from which on later ones of others go before its newest
 	usageSweep = 256             // accounts from which on idle ones are forgotten
 )
 
@@ -87,20 +88,23 @@
 	t.total, t.at = fade(t.total, now.Sub(t.at))+1, now
 }
 
-// wait estimates how long one more request of the account waits, if so many
-// requests a second get a slot: those of the account that wait already share what
-// the others leave, or the account's equal part if that is more.
+// wait estimates how long one more request of an account with many waiting ones
+// waits, if so many requests a second get a slot: they share what the other accounts
+// leave, or an equal part if that is more.
 func (t *turns) wait(now time.Time, account string, perSecond float64) time.Duration {
 	if account == "" || perSecond <= 0 {
 		return 0
 	}
+	u := t.of(now, account)
+	if u.waiting < floodFrom {
+		return 0
+	}
 	active := 0
-	for _, u := range t.usages {
-		if u.waiting > 0 || now.Sub(u.at) < usageFade {
+	for _, other := range t.usages {
+		if other.waiting > 0 {
 			active++
 		}
 	}
-	u := t.of(now, account)
 	others := (fade(t.total, now.Sub(t.at)) - u.grants) / usageFade.Seconds()
 	rate := max(perSecond-others, perSecond/float64(max(1, active)))
 	return time.Duration(turnMargin * float64(u.waiting+1) / rate * float64(time.Second))
