--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -34,6 +34,7 @@
 	timeout string
 	key     string // of the only account
 	rate    int
+	public  bool
 }
 
 var usual = deployment{kind: "unsafe", timeout: "2000ms", key: "k1"}
@@ -57,7 +58,7 @@
 	f.version++
 	f.store.Put(platform.ConfigKey, platformtest.Configuration{
 		Version:  f.version,
-		Routes:   []platformtest.Route{{Name: "r", Prefix: "/r/", Kind: d.kind, Timeout: d.timeout, Service: "svc", Attempts: 2}},
+		Routes:   []platformtest.Route{{Name: "r", Prefix: "/r/", Kind: d.kind, Timeout: d.timeout, Service: "svc", Attempts: 2, Public: d.public}},
 		Accounts: []platformtest.Account{{Name: "acc", Keys: []string{d.key}, Rate: d.rate, Burst: d.rate}},
 	}.Encode())
 }
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -252,8 +252,27 @@
 	request.Header.Set("Key", "k1")
 	go func() { _, _ = http.DefaultClient.Do(request) }()
 	f.until("the server runs it", func() bool { return f.runsOf("left") == 1 })
+	left := time.Now()
 	leave()
 	f.until("the gateway has ended it", func() bool { return v.active.Load() == 0 })
+	if took := time.Since(left); took > 500*time.Millisecond {
+		t.Errorf("the work ends %v after its caller has left", took)
+	}
+}
+
+// What a caller says of its account never reaches a server, also where no key is asked for.
+func TestForgedAccountIsDropped(t *testing.T) {
+	f := newFleet(t, 1)
+	d := usual
+	d.public = true
+	f.configure(d)
+	v := f.serving("vm-1")
+	if r := f.call(v, http.MethodPost, "/r/", "", "order", nil); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	if run := f.servers[0].Runs()[0]; run.Account != "" {
+		t.Errorf("the server runs it for the account %q", run.Account)
+	}
 }
 
 func TestAccountIsHeldToItsRate(t *testing.T) {
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// Load: 100 requests a second, each of which asks for one more try. The Broker
+// grants no more of them than the budget of any ten seconds allows.
+func TestBrokerHoldsRetriesToTheBudget(t *testing.T) {
+	w := newWorld(21, 6)
+	granted := 0
+	const seconds, perSecond = 30, 100
+	for range seconds {
+		w.run(time.Second, perSecond, nil)
+		for range perSecond {
+			if d := w.ask("vm1", func(a *Ask) { a.Retry = true }); d.Verdict == Granted {
+				granted++
+				w.broker.End(w.now, d.ID, d.Server, Unused, 0)
+			}
+		}
+	}
+	windows := seconds / testPolicy.Retries.Window.Seconds()
+	bound := testPolicy.Retries.Ratio*seconds*perSecond + windows*float64(testPolicy.Retries.Allowance)
+	if float64(granted) > bound || granted == 0 {
+		t.Errorf("%d retries of %d requests in %d s; %.0f are allowed", granted, seconds*perSecond, seconds, bound)
+	}
+}
+
 // Load: a server joins while the others have room.
 func TestServerThatJoinsGetsARequest(t *testing.T) {
 	w := newWorld(6, 6)
