--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	callers      = 16
+	callers      = 28
 	think        = 60 * time.Millisecond // mean pause of a caller between requests
 	callDeadline = 4 * time.Second       // longer than the route's timeout, so that the gateway has to end the request
 	dialTimeout  = 500 * time.Millisecond
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -38,7 +38,7 @@
 
 var faults = []fault{
 	{3, freeze}, {3, kill}, {1, killAll}, {3, terminate}, {1, terminateAll}, {2, hangUp},
-	{3, cutStore}, {2, failStore}, {1, dropHistory}, {3, harmServerLink}, {4, misbehave}, {2, leave},
+	{3, cutStore}, {2, failStore}, {1, dropHistory}, {3, harmServerLink}, {9, misbehave}, {2, leave},
 	{2, configureOnce}, {1, configureStorm}, {2, harmCallers},
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -22,7 +22,7 @@
 
 const (
 	serverCount  = 6
-	workTime     = 40 * time.Millisecond
+	workTime     = 120 * time.Millisecond // keeps half of the slots busy, so that every server is used
 	beatPeriod   = 1500 * time.Millisecond
 	recoveryTime = 4 * time.Second // longer than a learned spell of a failing server and a home's suspicion
 	routeTimeout = 2 * time.Second
