soak: a process that starts never reads the settings file while it is broken on purpose

Cause: read as a newcomer: hangUp breaks the file for 0.1 s; a VM that restarts in that time would end by itself, and the run would fail by the soak's own doing. Change: breaking the file and starting exclude each other; a VM that started less than a second ago keeps a good file.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +18,7 @@
 	longest     = 3 * time.Second // of one fault
 	stormSize   = 4               // configurations in quick succession
 	removeAfter = 2500 * time.Millisecond
+	startTime   = time.Second // in which a process has read its settings
 )
 
 // fault is one kind of trouble; it returns when the trouble has ended.
@@ -127,12 +127,14 @@
 // hangUp has the settings read again, sometimes broken ones.
 func hangUp(w *world, d draw) {
 	defer w.disturb(d.vm.name + " stops")()
+	d.vm.reading.Lock()
+	defer d.vm.reading.Unlock()
 	good, err := os.ReadFile(d.vm.settings)
 	if err != nil {
 		w.t.Error(err)
 		return
 	}
-	if d.kind%2 == 0 && strings.Contains(string(good), "grace") {
+	if d.kind%2 == 0 && d.vm.hasRunFor(startTime) {
 		w.rewrite(d.vm, "self.nodeName=\n")
 		d.vm.signal(syscall.SIGHUP, false)
 		time.Sleep(100 * time.Millisecond)
@@ -141,6 +143,13 @@
 	d.vm.signal(syscall.SIGHUP, false)
 }
 
+// hasRunFor reports whether the process has started so long ago.
+func (v *vm) hasRunFor(span time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.started) > span
+}
+
 func (w *world) rewrite(v *vm, text string) {
 	// By renaming, as a process that starts meanwhile needs a whole file.
 	next := v.settings + ".next"
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -178,7 +178,10 @@
 	front          string // address of the link for callers
 	callers, store *standin.Link
 
+	reading sync.Mutex // held while the settings file is broken, and while a process starts
+
 	mu      sync.Mutex
+	started time.Time
 	process *exec.Cmd
 	done    chan struct{}
 	lives   int
@@ -209,8 +212,11 @@
 		return
 	}
 	defer func() { _ = log.Close() }() // the process has its own copy
+	v.reading.Lock()
+	defer v.reading.Unlock()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.started = time.Now()
 	v.process = exec.Command(program)
 	v.process.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
 	v.process.Stdout, v.process.Stderr = log, log
