agent: a peer's store contact from before this VM's start confirms no document

Cause of TestProofConfigStartDuringOutage (about 1 run in 600): a starting VM took any store age of a peer as proof that its document was the store's newest, also an age from before its own start, when the peer may have missed a newer revision. It then handed revision 1 to its entry if the first pull and the first answer both came from a peer without revision 5. Second cause, found by the new test: without the platform's list, the only peer known was taken for all peers.

Change: only a store contact after the start confirms the document; without the list, fewer than three peers are enough only 2 s after the start.

The test itself undid its cuts between the peers before the VM started; they now stay, which is stricter.

--- a/agent/authority.go
+++ b/agent/authority.go
@@ -30,12 +30,16 @@
 
 func newAuthority() *authority { return &authority{reportedPeers: map[string]bool{}} }
 
-// confirmStore records that this VM had the store's newest document at the given instant.
+// confirmStore records that this VM's document was the store's newest at the given
+// instant. An instant before the start of this VM does not confirm the document: a peer
+// that has been without the store since then may have missed a newer one.
 func (a *Agent) confirmStore(at time.Time) {
 	a.authority.mu.Lock()
 	a.authority.keys.ConfirmStore(at)
 	a.authority.mu.Unlock()
-	a.state.setConfirmed()
+	if !at.Before(a.started) {
+		a.state.setConfirmed()
+	}
 }
 
 // storeAge returns the time since the document was last known to be the store's
@@ -120,13 +124,18 @@
 }
 
 // recordStartupPeer records a peer's revision while this VM starts. It reports whether
-// enough peers have reported and none of them has a newer revision.
+// enough peers have reported and none of them has a newer revision. While the list of
+// VMs is not known, fewer than startupPeers are enough only after staleAfter, in which
+// every peer of a small fleet has exchanged messages with this VM.
 func (a *Agent) recordStartupPeer(peer string, revision uint64) bool {
 	document, _ := a.state.configuration()
-	others := len(a.peers.inService()) - 1
+	enough := startupPeers
+	if a.vmListKnown.Load() || a.since(a.started) >= staleAfter {
+		enough = min(startupPeers, len(a.peers.inService())-1)
+	}
 	a.authority.mu.Lock()
 	defer a.authority.mu.Unlock()
 	a.authority.reportedPeers[peer] = true
 	a.authority.newestRevision = max(a.authority.newestRevision, revision)
-	return document != nil && document.Revision >= a.authority.newestRevision && len(a.authority.reportedPeers) >= min(startupPeers, others)
+	return document != nil && document.Revision >= a.authority.newestRevision && len(a.authority.reportedPeers) >= enough
 }
--- a/agent/config_proof_test.go
+++ b/agent/config_proof_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/wire"
 )
 
@@ -87,9 +88,8 @@
 // peers before its entry receives any, although most of its peers have an older one.
 func TestProofConfigStartDuringOutage(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
-		f.setCuts(func(from, to string) bool { return from != "vm-03" && to != "vm-03" }, nil)
 		f.kill(3)
-		f.setCuts(nil, func(string) bool { return true })
+		f.setCuts(func(from, to string) bool { return from != "vm-03" && to != "vm-03" }, func(string) bool { return true })
 		newest := f.document(5)
 		none := func(context.Context, []string) (map[string][]byte, error) { return nil, nil }
 		if err := f.agents[2].adopt(t.Context(), newest.Root, none, "test"); err != nil {
@@ -110,6 +110,47 @@
 	})
 }
 
+// A VM that starts during an outage of the store is told revision 1 by a peer whose last
+// contact with the store is older than the start. The peer cannot know whether there is
+// a newer revision, so this must not confirm revision 1; a contact after the start does.
+func TestProofConfigStoreAgeFromBeforeTheStartConfirmsNothing(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		agent := f.startIsolated(3)
+		f.adoptFirst(agent)
+		age := func(d time.Duration) wire.ConfigDigest {
+			return wire.ConfigDigest{Revision: 1, Confirmed: true, StoreAge: d.Milliseconds()}
+		}
+		time.Sleep(time.Second)
+		agent.handleDigest(agent.now(), "vm-00", age(3*time.Second))
+		if snapshot, _ := agent.state.current(); snapshot.Document != nil {
+			t.Error("a store contact of a peer before this VM's start confirmed the document")
+		}
+		agent.handleDigest(agent.now(), "vm-00", age(500*time.Millisecond))
+		if snapshot, _ := agent.state.current(); snapshot.Document == nil {
+			t.Error("a store contact of a peer after this VM's start did not confirm the document")
+		}
+	})
+}
+
+// A VM that starts without the platform's list knows only the peer that contacts it
+// first. That peer alone must not confirm the document at once, since others may have a
+// newer one.
+func TestProofConfigFirstPeerAloneConfirmsNothingAtOnce(t *testing.T) {
+	withFleet(t, 4, func(f *fleet) {
+		f.kill(3)
+		onlyFirst := func(from, to string) bool { return min(from, to) != "vm-00" || max(from, to) != "vm-03" }
+		f.setCuts(onlyFirst, func(string) bool { return true })
+		agent := f.start(3)
+		for agent.since(agent.started) < staleAfter {
+			if snapshot, _ := agent.state.current(); snapshot.Document != nil {
+				t.Errorf("revision %d was confirmed by one peer %v after the start", snapshot.Document.Revision, agent.since(agent.started))
+				return
+			}
+			time.Sleep(membership.ExchangeInterval / 4)
+		}
+	})
+}
+
 // Bounds the number of watches of the store while the whole fleet starts at once, and
 // logs the calls for the configuration and the list of VMs.
 func TestStoreCallsWhileTheFleetStarts(t *testing.T) {
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -88,6 +88,22 @@
 	_ = f.listeners[vmName(i)].Close()
 }
 
+// startIsolated restarts a VM that reaches neither its peers nor the store.
+func (f *fleet) startIsolated(i int) *Agent {
+	f.setCuts(func(from, to string) bool { return from == vmName(i) || to == vmName(i) }, func(vm string) bool { return vm == vmName(i) })
+	f.kill(i)
+	return f.start(i)
+}
+
+// adoptFirst makes the VM adopt revision 1.
+func (f *fleet) adoptFirst(a *Agent) {
+	f.t.Helper()
+	none := func(context.Context, []string) (map[string][]byte, error) { return nil, nil }
+	if err := a.adopt(f.t.Context(), f.document(1).Root, none, "test"); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *fleet) stop() {
 	for i := range f.agents {
 		f.kill(i)
