placement, gateway: cost of a report, a VM list and the server log at 300 VMs

Change: grants are kept by VM; a list of VMs computes the owners once and only if it changed; only the VM that read a change from the store logs it server by server, others one line for each update, and a start is one line per service.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -122,7 +122,7 @@
 	effect := f.catalog.Apply(time.Now(), f.decodeItems(items))
 	f.catalog.MarkSynced(started, revision)
 	f.mu.Unlock()
-	f.apply(effect, "store")
+	f.apply(effect, sourceStore)
 	if len(effect.Forward) > 0 {
 		f.propagate(effect.Forward)
 	}
@@ -144,7 +144,7 @@
 	effect := f.catalog.Replace(time.Now(), f.decodeItems(snapshot.Items), snapshot.Revision)
 	f.catalog.MarkSynced(started, snapshot.Revision)
 	f.mu.Unlock()
-	f.apply(effect, "store")
+	f.apply(effect, sourceStore)
 	if len(effect.Forward) > 0 {
 		f.propagate(effect.Forward)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -376,21 +376,6 @@
 	g.localBrokers.setServers(now, servers)
 }
 
-func (g *Gateway) logServers(before, after map[string]platform.Server, source string) {
-	for id, server := range after {
-		old, known := before[id]
-		if !known || old.Draining != server.Draining || old.Born != server.Born {
-			g.log.Info("server", zap.String("server", id), zap.String("service", server.Service), zap.String("address", server.Address),
-				zap.Bool("draining", server.Draining), zap.Int64("born", server.Born), zap.String("source", source))
-		}
-	}
-	for id, server := range before {
-		if _, known := after[id]; !known {
-			g.log.Info("server gone", zap.String("server", id), zap.String("service", server.Service), zap.String("source", source))
-		}
-	}
-}
-
 // logAvoidance logs that this VM, as owner of the service, starts or stops avoiding
 // a server.
 func (g *Gateway) logAvoidance(service string, change placement.AvoidanceChange) {
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -63,36 +63,49 @@
 func (p *peers) updateMember(member membership.Member) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	changed, isNew := p.setMember(member)
+	if changed {
+		p.rebuild()
+	}
+	return isNew
+}
+
+// setMember records what a VM reports about itself. It reports whether the members
+// changed, so that the caller must call rebuild, and whether the VM is new or was
+// restarted. The caller holds the lock.
+func (p *peers) setMember(member membership.Member) (changed, isNew bool) {
 	known, ok := p.members[member.Name]
 	if member.Name == p.self.Name || ok && (known.Incarnation > member.Incarnation || known == member) {
-		return false
+		return false, false
 	}
 	p.members[member.Name] = member
 	delete(p.suspected, member.Name)
-	p.rebuild()
-	return !ok || known.Incarnation != member.Incarnation
+	return true, !ok || known.Incarnation != member.Incarnation
 }
 
 // setRegistered adds the registered VMs, and forgets members that are not registered
 // and have sent no message within unregisteredLifetime.
 func (p *peers) setRegistered(now time.Time, registered []membership.Member) {
-	for _, member := range registered {
-		p.updateMember(member)
-	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	anyChanged := false
 	listed := map[string]bool{p.self.Name: true}
 	for _, member := range registered {
 		listed[member.Name] = true
+		changed, _ := p.setMember(member)
+		anyChanged = anyChanged || changed
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for name := range p.members {
 		if !listed[name] && now.Sub(p.lastHeard[name]) > unregisteredLifetime {
 			delete(p.members, name)
 			delete(p.lastHeard, name)
 			delete(p.suspicions, name)
+			anyChanged = true
 		}
 	}
-	p.rebuild()
+	if anyChanged {
+		p.rebuild()
+	}
 }
 
 // markLeaving records that this VM stops, so that it no longer acts as an
--- a/gateway/owners_test.go
+++ b/gateway/owners_test.go
@@ -64,3 +64,40 @@
 		t.Errorf("suspected for %v after a message of the VM", got)
 	}
 }
+
+// Load: the list of VMs at the start of a fleet, and the same list again. The owners are
+// computed again only if the list has changed.
+func TestUnchangedListKeepsOwners(t *testing.T) {
+	p := newPeers(membership.Member{Name: "vm-0"})
+	list := registeredVMs(300)
+	p.setRegistered(time.Unix(1000, 0), list)
+	owner := p.ownerOfGroup(0)
+	p.setRegistered(time.Unix(1001, 0), list)
+	if len(p.owners) == 0 {
+		t.Error("an unchanged list cleared the owners")
+	}
+	p.setRegistered(time.Unix(1020, 0), list[:2])
+	if len(p.owners) != 0 || p.count() != 2 {
+		t.Errorf("%d VMs are known after 298 left the list, want 2; the owner was %s", p.count(), owner.Name)
+	}
+}
+
+func registeredVMs(n int) []membership.Member {
+	var list []membership.Member
+	for i := range n {
+		list = append(list, membership.Member{Name: fmt.Sprintf("vm-%d", i), Incarnation: 1, Capacity: 0.16})
+	}
+	return list
+}
+
+// Load: a VM that starts and gets the list of all VMs.
+func BenchmarkSetRegistered(b *testing.B) {
+	for _, vms := range []int{100, 300, 900} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			list := registeredVMs(vms)
+			for b.Loop() {
+				newPeers(membership.Member{Name: "vm-0"}).setRegistered(time.Unix(1000, 0), list)
+			}
+		})
+	}
+}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -19,7 +19,7 @@
 type Broker struct {
 	servers         map[string]*server
 	serversByID     []*server // sorted, so that equal inputs give equal decisions
-	grants          map[RequestID]*grant
+	grants          grantTable
 	queue           []*queued
 	fairQueue       fairQueue
 	lastContact     map[string]time.Time // by VM name
@@ -36,7 +36,7 @@
 // between equally good servers reproducible.
 func NewBroker(policy Policy, seed uint64) *Broker {
 	return &Broker{
-		servers: map[string]*server{}, grants: map[RequestID]*grant{}, lastContact: map[string]time.Time{}, fairQueue: newFairQueue(),
+		servers: map[string]*server{}, grants: newGrantTable(), lastContact: map[string]time.Time{}, fairQueue: newFairQueue(),
 		retries: retryLimiter{RetryBudget: policy.Retries}, inUseFloor: inUseFloor{share: policy.MinServers}, share: failingShare{value: initialFailingShare}, failurePeriod: failurePeriodEstimate{value: initialFailurePeriod}, latencyEstimate: newLatencyEstimate(), random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -58,7 +58,7 @@
 			continue
 		}
 		for requestID := range s.running {
-			delete(b.grants, requestID)
+			b.grants.remove(requestID)
 		}
 		delete(b.servers, id)
 	}
@@ -79,7 +79,7 @@
 // include those about other queued requests.
 func (b *Broker) Request(now time.Time, request Request) []Decision {
 	b.lastContact[request.ID.VM] = now
-	if b.grants[request.ID] != nil || b.isQueued(request.ID) {
+	if b.grants.get(request.ID) != nil || b.isQueued(request.ID) {
 		return b.repeatDecision(request.ID)
 	}
 	if !request.Retry {
@@ -111,7 +111,7 @@
 
 // repeatDecision returns the current decision about a Request that arrived before.
 func (b *Broker) repeatDecision(id RequestID) []Decision {
-	if g := b.grants[id]; g != nil {
+	if g := b.grants.get(id); g != nil {
 		return []Decision{{ID: id, Verdict: Granted, Server: g.server.ID}}
 	}
 	return []Decision{{ID: id, Verdict: Queued, Queue: len(b.queue)}}
@@ -147,13 +147,13 @@
 	for _, r := range running {
 		listed[r.Seq] = true
 		id := RequestID{VM: vm, Seq: r.Seq}
-		if s := b.servers[r.Server]; s != nil && b.grants[id] == nil {
+		if s := b.servers[r.Server]; s != nil && b.grants.get(id) == nil {
 			b.addGrant(id, s, now.Add(-r.Age))
 		}
 	}
-	for id, g := range b.grants {
-		if id.VM == vm && !listed[id.Seq] && now.Sub(g.startedAt) > syncMargin {
-			b.release(id)
+	for seq, g := range b.grants.ofVM(vm) {
+		if !listed[seq] && now.Sub(g.startedAt) > syncMargin {
+			b.release(g.requestID)
 		}
 	}
 	return b.dispatch(now)
@@ -185,15 +185,13 @@
 func (b *Broker) QueueLength() int { return len(b.queue) }
 
 // InFlight returns the number of grants that have not ended.
-func (b *Broker) InFlight() int { return len(b.grants) }
+func (b *Broker) InFlight() int { return b.grants.count }
 
 // dropVM releases the grants and queued requests of a VM that stopped reporting.
 func (b *Broker) dropVM(now time.Time, vm string) {
 	delete(b.lastContact, vm)
-	for id := range b.grants {
-		if id.VM == vm {
-			b.release(id)
-		}
+	for _, g := range b.grants.ofVM(vm) {
+		b.release(g.requestID)
 	}
 	b.removeQueued(now, func(r *queued) bool { return r.ID.VM == vm })
 }
@@ -213,16 +211,17 @@
 func (b *Broker) addGrant(id RequestID, s *server, startedAt time.Time) {
 	g := &grant{requestID: id, server: s, startedAt: startedAt}
 	s.used = startedAt
-	b.grants[id], s.running[id] = g, g
+	s.running[id] = g
+	b.grants.add(g)
 }
 
 func (b *Broker) release(id RequestID) {
-	if g := b.grants[id]; g != nil {
+	if g := b.grants.get(id); g != nil {
 		delete(g.server.running, id)
 		if g.overdue {
 			g.server.overdue--
 		}
-		delete(b.grants, id)
+		b.grants.remove(id)
 	}
 }
 
@@ -279,7 +278,7 @@
 // RecordGrant records the grant of another Broker, so that its request is counted.
 func (b *Broker) RecordGrant(now time.Time, id RequestID, serverID string) {
 	b.lastContact[id.VM] = now
-	if s := b.servers[serverID]; s != nil && b.grants[id] == nil {
+	if s := b.servers[serverID]; s != nil && b.grants.get(id) == nil {
 		b.addGrant(id, s, now)
 	}
 }
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -84,10 +84,10 @@
 	first, second := sim.request("vm", nil), sim.request("vm", nil)
 	sim.now = sim.now.Add(time.Second)
 	sim.broker.Sync(sim.now, "vm", []Running{{Seq: second.ID.Seq, Server: second.Server}, {Seq: 999, Server: "s03"}})
-	if sim.broker.grants[first.ID] != nil {
+	if sim.broker.grants.get(first.ID) != nil {
 		t.Error("a request that the VM does not list still holds its slot")
 	}
-	if sim.broker.grants[second.ID] == nil || sim.broker.grants[RequestID{VM: "vm", Seq: 999}] == nil {
+	if sim.broker.grants.get(second.ID) == nil || sim.broker.grants.get(RequestID{VM: "vm", Seq: 999}) == nil {
 		t.Error("a request that the VM lists as in flight holds no slot")
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -33,14 +33,6 @@
 	avoidedUntil  map[string]time.Time // time until which a VM that could not connect avoids the server, by VM name
 }
 
-// grant is one slot of a server, reserved for a request.
-type grant struct {
-	requestID RequestID
-	server    *server
-	startedAt time.Time
-	overdue   bool // was already counted as a failure
-}
-
 func newServer(now time.Time, registered Server, failurePeriod *failurePeriodEstimate) *server {
 	s := &server{failurePeriod: failurePeriod, running: map[RequestID]*grant{}, avoidedUntil: map[string]time.Time{}, connected: map[string]time.Time{}}
 	s.register(now, registered)
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -57,7 +57,7 @@
 	}
 	sim.handle(sim.broker.Request(sim.now, r))
 	decisions := sim.broker.repeatDecision(r.ID)
-	if sim.broker.grants[r.ID] == nil && !sim.broker.isQueued(r.ID) {
+	if sim.broker.grants.get(r.ID) == nil && !sim.broker.isQueued(r.ID) {
 		return Decision{ID: r.ID, Verdict: Refused}
 	}
 	return decisions[0]
