placement, gateway: retries wait for the retry budget instead of being refused

Change: a retry waits at the owner until the budget allows it and a slot is free, by priority and in turns among client accounts; it is refused at once if the budget is not expected to allow it before its deadline. The route's number of servers stays the limit: after that many, a request may return to those that refused it without running it. Messages about queued requests are repeated each 0.25 s at first, then up to 1 s.

Two tests changed: trySpend is split into canSpend and spend, and the test of the budget counts retries that are granted later, too (stricter).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,7 +262,7 @@
 	decisions := g.owned.withBroker(now, m.Service, func(b *placement.Broker) []placement.Decision {
 		return b.Request(now, placement.Request{
 			ID: placement.RequestID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Retry: m.Retry, Account: m.Account,
+			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
 		})
 	})
 	g.sendDecisions(m.Service, decisions)
@@ -394,6 +394,12 @@
 	return server, ok && !server.Draining
 }
 
+// isRegistered reports whether the server is registered, draining or not.
+func (g *Gateway) isRegistered(id string) bool {
+	_, ok := (*g.servers.Load())[id]
+	return ok
+}
+
 // catalogAge returns the time since the catalog was last known to match the store.
 func (g *Gateway) catalogAge() time.Duration {
 	g.follower.mu.Lock()
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -54,6 +54,7 @@
 		Tried    []string
 		Retry    bool
 		Account  string
+		Only     []string // if not empty, the only servers that may get the request
 	}
 
 	placementReply struct {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,7 +15,8 @@
 	resendInterval       = 15 * time.Millisecond  // between copies of a message to an owner; datagrams can be lost, and crossing between availability zones takes about 1 ms
 	replyTimeout         = 60 * time.Millisecond  // an owner that has not replied by then and for replyGrace more is suspected
 	replyGrace           = 20 * time.Millisecond  // lets a VM that was paused itself read the replies that arrived meanwhile
-	queuedResendInterval = 250 * time.Millisecond // the same for a queued request; the decision may have been lost
+	queuedResendInterval = 250 * time.Millisecond // the first one for a queued request; the decision may have been lost
+	maxQueuedInterval    = time.Second            // between later ones, each twice as long as the one before; thousands of retries may be queued
 	maxOwnerAttempts     = 3                      // the owner, the next one if it does not reply, and the first one again if the next one still receives its messages
 	replyBuffer          = 16                     // unread replies kept per request; each copy of its message may get one
 )
@@ -165,20 +166,25 @@
 func (g *Gateway) place(ctx context.Context, service string, slotRequest placement.Request) placementResult {
 	replies := g.addPending(slotRequest.ID.Seq)
 	defer g.removePending(slotRequest.ID.Seq)
+	began := time.Now()
 	for range maxOwnerAttempts {
 		owner := g.peers.ownerOf(service)
 		var send func()
 		if owner.Name == g.self.Name {
-			g.sendDecisions(service, g.owned.withBroker(g.now(), service, func(b *placement.Broker) []placement.Decision { return b.Request(g.now(), slotRequest) }))
+			g.sendDecisions(service, g.owned.withBroker(g.now(), service, func(b *placement.Broker) []placement.Decision {
+				return b.Request(g.now(), slotRequest.After(time.Since(began)))
+			}))
 		} else {
-			message := &placementRequest{
-				Service: service, Seq: slotRequest.ID.Seq, Safe: slotRequest.Safe, Priority: slotRequest.Priority,
-				Left: slotRequest.Left, Target: slotRequest.Target, Bytes: slotRequest.Bytes, Tried: slotRequest.Tried, Retry: slotRequest.Retry, Account: slotRequest.Account,
+			send = func() {
+				r := slotRequest.After(time.Since(began)) // an owner that has just started takes a repeated message for the first one
+				g.mesh.send(owner.Address, kindPlacementRequest, &placementRequest{
+					Service: service, Seq: r.ID.Seq, Safe: r.Safe, Priority: r.Priority, Left: r.Left, Target: r.Target,
+					Bytes: r.Bytes, Tried: r.Tried, Only: r.Only, Retry: r.Retry, Account: r.Account,
+				})
 			}
-			send = func() { g.mesh.send(owner.Address, kindPlacementRequest, message) }
 			send()
 		}
-		decision, retry := g.awaitDecision(ctx, service, slotRequest, send, owner.Name, replies)
+		decision, retry := g.awaitDecision(ctx, service, slotRequest.After(time.Since(began)), send, owner.Name, replies)
 		if decision != nil {
 			return *decision
 		}
@@ -196,6 +202,7 @@
 	timer := newReplyTimer()
 	defer timer.stop()
 	queued := false
+	queuedInterval := queuedResendInterval
 	for {
 		select {
 		case r := <-replies:
@@ -207,7 +214,7 @@
 			case r.slot.Verdict == placement.Queued:
 				queued, timer.extended = true, false
 				timer.timeout.Reset(slotRequest.Left)
-				timer.retry.Reset(queuedResendInterval)
+				timer.retry.Reset(queuedInterval)
 			default:
 				d := r.slot
 				return &placementResult{Owner: r.from, Decision: placement.Decision{
@@ -224,7 +231,8 @@
 				timer.retry.Reset(resendInterval)
 				continue
 			}
-			timer.retry.Reset(queuedResendInterval)
+			queuedInterval = min(maxQueuedInterval, 2*queuedInterval)
+			timer.retry.Reset(queuedInterval)
 			timer.timeout.Reset(queuedResendInterval / 2)
 		case <-timer.timeout.C:
 			if timer.extend() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -164,18 +164,17 @@
 func (q *request) forward() *refusal {
 	ctx, cancel := context.WithDeadlineCause(q.r.Context(), q.deadline, errDeadline)
 	defer cancel()
-	attempts := min(q.route.MaxAttempts, maxAttempts)
-	reached := 0
-	var tried []string
+	plan := attemptPlan{maxServers: min(q.route.MaxAttempts, maxAttempts)}
 	var failedAnswer *exchange // complete answer with a server failure, delivered if no other server gives a better one
 	for {
 		left := time.Until(q.deadline)
 		if left < minServerTime {
 			return q.deadlineRefusal()
 		}
+		tried, only := plan.choices(q.g.isRegistered)
 		slotRequest := placement.Request{
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Retry: reached > 0, Account: q.accountName(),
+			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
 		}
 		decision := q.g.place(ctx, q.service, slotRequest)
 		if decision.Verdict != placement.Granted {
@@ -188,23 +187,20 @@
 		server, ok := q.g.server(decision.Server)
 		if !ok {
 			q.g.complete(q.service, slotRequest.ID.Seq, decision.Server, placement.Unused, 0, decision.Owner)
-			tried = append(tried, decision.Server)
+			plan.exclude(decision.Server)
 			continue
 		}
 		x := q.tryServer(ctx, server, decision)
-		if x.outcome != placement.Unreachable {
-			reached++
-		}
+		plan.record(server.ID, x.outcome)
 		if x.outcome == placement.Failed && x.rest == nil {
 			failedAnswer = x
 		}
-		if q.isFinal(x, reached >= attempts) {
+		if q.isFinal(x, plan.exhausted()) {
 			if x.outcome != placement.Answered && failedAnswer != nil {
 				x = failedAnswer
 			}
 			return q.answer(ctx, x)
 		}
-		tried = append(tried, server.ID)
 	}
 }
 
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -21,6 +21,7 @@
 	serversByID     []*server // sorted, so that equal inputs give equal decisions
 	grants          grantTable
 	queue           []*queued
+	retryQueue      retryQueue
 	fairQueue       fairQueue
 	lastContact     map[string]time.Time // by VM name
 	retries         retryLimiter
@@ -82,13 +83,12 @@
 	if b.grants.get(request.ID) != nil || b.isQueued(request.ID) {
 		return b.repeatDecision(request.ID)
 	}
-	if !request.Retry {
-		b.retries.observeRequest(now)
-		b.inUseFloor.observeRequest(now, request.Safe)
-	} else if !b.retries.trySpend(now) {
-		return []Decision{b.refuse(now, request.ID, "retry budget is spent", b.retryAfter(now))}
-	}
 	r := &queued{Request: request, queuedAt: now}
+	if request.Retry {
+		return b.requestRetry(now, r)
+	}
+	b.retries.observeRequest(now)
+	b.inUseFloor.observeRequest(now, request.Safe)
 	b.fairQueue.assignRound(now, r)
 	if len(b.queue) == 0 {
 		if s := b.choose(now, r, b.candidateSet(now)); s != nil {
@@ -100,13 +100,16 @@
 		return []Decision{b.refuse(now, request.ID, reason, b.retryAfter(now))}
 	}
 	b.enqueue(now, r)
-	decisions := b.dispatch(now)
-	for _, d := range decisions {
-		if d.ID == request.ID {
-			return decisions
-		}
+	return b.decideOrQueue(r, b.dispatch(now))
+}
+
+// decideOrQueue adds that the request is queued, unless the decisions include one
+// about it.
+func (b *Broker) decideOrQueue(r *queued, decisions []Decision) []Decision {
+	if slices.ContainsFunc(decisions, func(d Decision) bool { return d.ID == r.ID }) {
+		return decisions
 	}
-	return append(decisions, Decision{ID: request.ID, Verdict: Queued, Queue: len(b.queue)})
+	return append(decisions, Decision{ID: r.ID, Verdict: Queued, Queue: b.QueueLength()})
 }
 
 // repeatDecision returns the current decision about a Request that arrived before.
@@ -114,7 +117,7 @@
 	if g := b.grants.get(id); g != nil {
 		return []Decision{{ID: id, Verdict: Granted, Server: g.server.ID}}
 	}
-	return []Decision{{ID: id, Verdict: Queued, Queue: len(b.queue)}}
+	return []Decision{{ID: id, Verdict: Queued, Queue: b.QueueLength()}}
 }
 
 // Complete records the outcome of a request, frees its slot and returns the
@@ -181,8 +184,8 @@
 	return changes
 }
 
-// QueueLength returns the length of the queue.
-func (b *Broker) QueueLength() int { return len(b.queue) }
+// QueueLength returns the number of requests that wait, retries included.
+func (b *Broker) QueueLength() int { return len(b.queue) + len(b.retryQueue.waiting) }
 
 // InFlight returns the number of grants that have not ended.
 func (b *Broker) InFlight() int { return b.grants.count }
@@ -233,7 +236,7 @@
 	lowestCost, lowestIdleCost := 0.0, 0.0
 	for i := range set.candidates {
 		c := &set.candidates[i]
-		if !c.reachableFrom(now, r.ID.VM) || r.triedBefore(c.server) {
+		if !c.reachableFrom(now, r.ID.VM) || !r.mayUse(c.server) {
 			continue
 		}
 		cost := c.costFor(now, &r.Request) + costJitter*b.random.Float64()
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -123,7 +123,8 @@
 	for range 40 * 200 {
 		now = now.Add(step)
 		limiter.observeRequest(now)
-		if limiter.trySpend(now) {
+		if limiter.canSpend(now) {
+			limiter.spend(now)
 			retries = append(retries, now)
 		}
 	}
@@ -145,17 +146,16 @@
 // retries than the budget for each window of ten seconds allows.
 func TestBrokerHoldsRetriesToTheBudget(t *testing.T) {
 	sim := newSimulation(21, 6)
-	granted := 0
+	retries := map[uint64]bool{}
 	const seconds, perSecond = 30, 100
 	for range seconds {
 		sim.run(time.Second, perSecond, nil)
 		for range perSecond {
-			if d := sim.request("vm1", func(r *Request) { r.Retry = true }); d.Verdict == Granted {
-				granted++
-				sim.broker.Complete(sim.now, d.ID, d.Server, Unused, 0)
-			}
+			d := sim.request("vm1", func(r *Request) { r.Retry = true })
+			retries[d.ID.Seq] = true
 		}
 	}
+	granted := sim.countGranted(func(seq uint64) bool { return retries[seq] })
 	windows := seconds / testPolicy.Retries.Window.Seconds()
 	bound := testPolicy.Retries.Ratio*seconds*perSecond + windows*float64(testPolicy.Retries.Allowance)
 	if float64(granted) > bound || granted == 0 {
--- a/placement/fairqueue.go
+++ b/placement/fairqueue.go
@@ -88,7 +88,12 @@
 // markGranted records that the request got a slot.
 func (q *fairQueue) markGranted(now time.Time, r *queued) {
 	q.currentRound = max(q.currentRound, r.round)
-	q.usageOf(now, r.Account).recentGrants++
+	q.countGrant(now, r.Account)
+}
+
+// countGrant counts a slot that a request of the account got.
+func (q *fairQueue) countGrant(now time.Time, account string) {
+	q.usageOf(now, account).recentGrants++
 	q.totalGrants, q.totalUpdated = decay(q.totalGrants, now.Sub(q.totalUpdated))+1, now
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -24,7 +24,13 @@
 	round    int // fair-queueing round among the requests of its priority
 }
 
-func (r *queued) triedBefore(s *server) bool { return slices.Contains(r.Tried, s.ID) }
+// mayUse reports whether the request may be sent to the server.
+func (r *queued) mayUse(s *server) bool {
+	if len(r.Only) > 0 && !slices.Contains(r.Only, s.ID) {
+		return false
+	}
+	return !slices.Contains(r.Tried, s.ID)
+}
 
 // maxWait returns how long the request may wait for a slot and still be answered
 // within its target latency or, if that is no longer possible, its time limit.
@@ -36,33 +42,36 @@
 	return max(0, min(inTime, r.Left-mean))
 }
 
-// precedes orders the queue by priority. Within a priority, retries come first,
-// because they have already waited for a server that failed. The rest is ordered by
-// fair-queueing round, and within a round by arrival.
+// precedes orders a queue by priority, then by fair-queueing round, and within a round
+// by arrival.
 func (r *queued) precedes(other *queued) bool {
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
-	if r.Retry != other.Retry {
-		return r.Retry
-	}
 	return r.round < other.round
 }
 
 func (b *Broker) enqueue(now time.Time, r *queued) {
 	b.fairQueue.markQueued(now, r)
-	at := len(b.queue)
-	for at > 0 && r.precedes(b.queue[at-1]) {
+	b.queue = insertInOrder(b.queue, r)
+}
+
+// insertInOrder inserts the request behind those that it does not precede.
+func insertInOrder(queue []*queued, r *queued) []*queued {
+	at := len(queue)
+	for at > 0 && r.precedes(queue[at-1]) {
 		at--
 	}
-	b.queue = slices.Insert(b.queue, at, r)
+	return slices.Insert(queue, at, r)
 }
 
 func (b *Broker) isQueued(id RequestID) bool {
-	return slices.ContainsFunc(b.queue, func(r *queued) bool { return r.ID == id })
+	hasID := func(r *queued) bool { return r.ID == id }
+	return slices.ContainsFunc(b.queue, hasID) || slices.ContainsFunc(b.retryQueue.waiting, hasID)
 }
 
 func (b *Broker) removeQueued(now time.Time, remove func(*queued) bool) {
+	b.retryQueue.waiting = slices.DeleteFunc(b.retryQueue.waiting, remove)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
 		if !remove(r) {
 			return false
@@ -72,12 +81,13 @@
 	})
 }
 
-// dispatch grants free slots to queued requests in queue order.
+// dispatch grants free slots to retries that the budget allows, and then to queued
+// requests in queue order.
 func (b *Broker) dispatch(now time.Time) []Decision {
+	decisions := b.dispatchRetries(now)
 	if len(b.queue) == 0 {
-		return nil
+		return decisions
 	}
-	var decisions []Decision
 	set := b.candidateSet(now)
 	for i, scanned := 0, 0; i < len(b.queue) && scanned < maxDispatchScan && len(set.candidates) > 0; scanned++ {
 		r := b.queue[i]
@@ -98,7 +108,7 @@
 // expire refuses the queued requests that have waited for longer than their maxWait,
 // and those that are expected to, because other requests were queued before them.
 func (b *Broker) expire(now time.Time) []Decision {
-	var decisions []Decision
+	decisions := b.expireRetries(now)
 	mean := b.latencyEstimate.meanLatency()
 	ahead := 0
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
@@ -121,17 +131,21 @@
 	return decisions
 }
 
+// noServerLeft is the reason to refuse a request that no server may get.
+const noServerLeft = "no server is left"
+
+// hasUsableServer reports whether the request may be sent to a server, now or later.
+func (b *Broker) hasUsableServer(now time.Time, r *queued) bool {
+	return slices.ContainsFunc(b.serversByID, func(s *server) bool {
+		return !s.Draining && r.mayUse(s) && s.reachableFrom(now, r.ID.VM)
+	})
+}
+
 // rejectionReason returns why a new request cannot be served in time, or "" if it
 // can.
 func (b *Broker) rejectionReason(now time.Time, r *queued) string {
-	usable := 0
-	for _, s := range b.serversByID {
-		if !s.Draining && !r.triedBefore(s) && s.reachableFrom(now, r.ID.VM) {
-			usable++
-		}
-	}
-	if usable == 0 {
-		return "no server is left"
+	if !b.hasUsableServer(now, r) {
+		return noServerLeft
 	}
 	ahead := 0
 	for _, other := range b.queue {
--- a/placement/retry.go
+++ b/placement/retry.go
@@ -38,17 +38,43 @@
 
 func (l *retryLimiter) observeRequest(now time.Time) { l.requests[l.advance(now)]++ }
 
-// trySpend counts a retry and reports true if the budget allows one.
-func (l *retryLimiter) trySpend(now time.Time) bool {
-	index := l.advance(now)
-	requests, retries := 0, 0
+// allowed returns the retries that the budget allows in the window that ends now, and
+// those that were spent in it.
+func (l *retryLimiter) allowed(now time.Time) (allowed float64, spent int) {
+	l.advance(now)
+	requests := 0
 	for i := range l.requests {
 		requests += l.requests[i]
-		retries += l.retries[i]
+		spent += l.retries[i]
 	}
-	if float64(retries+1) > ratioUsable*l.Ratio*float64(requests)+allowanceUsable*float64(l.Allowance) {
-		return false
+	return ratioUsable*l.Ratio*float64(requests) + allowanceUsable*float64(l.Allowance), spent
+}
+
+// canSpend reports whether the budget allows a retry now.
+func (l *retryLimiter) canSpend(now time.Time) bool {
+	allowed, spent := l.allowed(now)
+	return float64(spent+1) <= allowed
+}
+
+// spend counts a retry.
+func (l *retryLimiter) spend(now time.Time) { l.retries[l.advance(now)]++ }
+
+// waitFor returns the time until the budget will have allowed n more retries, if
+// requests go on arriving at the present rate.
+func (l *retryLimiter) waitFor(now time.Time, n int) time.Duration {
+	allowed, spent := l.allowed(now)
+	missing := float64(spent+n) - allowed
+	partLength := l.Window / retryWindowParts
+	sincePartStart := time.Duration(now.UnixNano() - l.part*int64(partLength))
+	for age := int64(retryWindowParts); age >= 0 && missing > 0; age-- {
+		missing -= float64(l.retries[(l.part-age+retryWindowParts+1)%(retryWindowParts+1)])
+		if missing <= 0 {
+			return time.Duration(retryWindowParts+1-age)*partLength - sincePartStart
+		}
+	}
+	if missing <= 0 {
+		return 0
 	}
-	l.retries[index]++
-	return true
+	windows := 1 + missing/max(1, allowed) // further retries wait for those of the next windows
+	return time.Duration(windows * float64(l.Window))
 }
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
@@ -18,8 +19,21 @@
 	refused     map[string]int
 	work        time.Duration // processing time of each request
 	granted     []uint64
-	dueFraction float64 // accumulated fraction of the next request
+	shedShare   float64 // share of the requests that servers refuse without running them; the caller's VM sends these again
+	random      *rand.Rand
+	open        map[RequestID]simCall // calls whose request has not ended
+	latencies   []time.Duration       // of the answered calls
+	dueFraction float64               // accumulated fraction of the next request
 	nextTick    time.Time
+	// lastDecisions are the decisions since the start of the last step.
+	lastDecisions []Decision
+}
+
+// simCall is a caller's call, which may take several requests.
+type simCall struct {
+	request Request
+	arrived time.Time
+	servers []string // servers that refused it
 }
 
 // simRequest is a running request of a simulation.
@@ -38,6 +52,7 @@
 func newSimulation(servers, slots int) *simulation {
 	sim := &simulation{
 		broker: NewBroker(testPolicy, 1), now: time.Unix(1000, 0), failing: map[string]bool{}, lastUsed: map[string]time.Time{},
+		random: rand.New(rand.NewPCG(1, 1)), open: map[RequestID]simCall{},
 		ended: map[Outcome]int{}, refused: map[string]int{}, work: 470 * time.Millisecond,
 	}
 	var registered []Server
@@ -55,6 +70,7 @@
 	if change != nil {
 		change(&r)
 	}
+	sim.open[r.ID] = simCall{request: r, arrived: sim.now}
 	sim.handle(sim.broker.Request(sim.now, r))
 	decisions := sim.broker.repeatDecision(r.ID)
 	if sim.broker.grants.get(r.ID) == nil && !sim.broker.isQueued(r.ID) {
@@ -65,6 +81,7 @@
 
 // handle starts the granted requests and counts the refused ones.
 func (sim *simulation) handle(decisions []Decision) {
+	sim.lastDecisions = append(sim.lastDecisions, decisions...)
 	for _, d := range decisions {
 		switch d.Verdict {
 		case Granted:
@@ -72,11 +89,15 @@
 			if sim.failing[d.Server] {
 				r.ends, r.took, r.result = sim.now.Add(5*time.Millisecond), 5*time.Millisecond, Failed
 			}
+			if sim.random.Float64() < sim.shedShare {
+				r.ends, r.took, r.result = sim.now.Add(5*time.Millisecond), 5*time.Millisecond, Shed
+			}
 			sim.lastUsed[d.Server] = sim.now
 			sim.granted = append(sim.granted, d.ID.Seq)
 			sim.running = append(sim.running, r)
 		case Refused:
 			sim.refused[d.Reason]++
+			delete(sim.open, d.ID)
 		}
 	}
 }
@@ -90,6 +111,7 @@
 
 // step advances the time by one step.
 func (sim *simulation) step(perSecond float64, change func(*Request)) {
+	sim.lastDecisions = nil
 	for i := 0; i < len(sim.running); {
 		r := sim.running[i]
 		if sim.now.Before(r.ends) {
@@ -99,6 +121,14 @@
 		sim.running = append(sim.running[:i], sim.running[i+1:]...)
 		sim.ended[r.result]++
 		sim.handle(sim.broker.Complete(sim.now, r.id, r.server, r.result, r.took))
+		call := sim.open[r.id]
+		delete(sim.open, r.id)
+		switch r.result {
+		case Answered:
+			sim.latencies = append(sim.latencies, sim.now.Sub(call.arrived))
+		case Shed:
+			sim.retry(call, r.server)
+		}
 	}
 	if !sim.now.Before(sim.nextTick) {
 		sim.nextTick = sim.now.Add(50 * time.Millisecond)
@@ -113,6 +143,22 @@
 	sim.now = sim.now.Add(step)
 }
 
+// retry requests another slot for a call that a server refused, as a VM does whose
+// route allows two servers for each call.
+func (sim *simulation) retry(call simCall, refusedBy string) {
+	const maxServers = 2
+	sim.seq++
+	elapsed := sim.now.Sub(call.arrived)
+	next := call.request
+	next.ID.Seq, next.Retry, next.Tried = sim.seq, true, []string{refusedBy}
+	next.Left, next.Target = call.request.Left-elapsed, call.request.Target-elapsed
+	if call.servers = append(call.servers, refusedBy); len(call.servers) >= maxServers {
+		next.Tried, next.Only = nil, call.servers
+	}
+	sim.open[next.ID] = call
+	sim.handle(sim.broker.Request(sim.now, next))
+}
+
 // countGranted returns the number of granted requests whose sequence number matches.
 func (sim *simulation) countGranted(matches func(seq uint64) bool) int {
 	n := 0
--- a/placement/types.go
+++ b/placement/types.go
@@ -30,9 +30,17 @@
 	Target   time.Duration // time left until the answer exceeds the target latency; may be negative
 	Bytes    int           // size of the request body
 	Tried    []string      // IDs of servers that must not get it again
+	Only     []string      // if not empty, IDs of the only servers that may get it
 	Retry    bool          // an earlier attempt reached a server, so this one counts against the retry budget
 }
 
+// After returns the request as it is when the given time has passed.
+func (r Request) After(elapsed time.Duration) Request {
+	r.Left -= elapsed
+	r.Target -= elapsed
+	return r
+}
+
 // Outcome is the result of a request at its server.
 type Outcome int
 
