gateway: one VM takes over from a silent reader; VMs that the store turns away back off

Change (gateway/readturn.go): a VM that takes over does not wait for a change; the VMs without a turn of their own begin 2 ms apart, so that the first success stops the rest; after failed calls all but the first four readers back off up to 2 s, with jitter; a VM takes no other's turn in its first second.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -16,19 +17,16 @@
 )
 
 const (
-	watchInterval       = 350 * time.Millisecond  // between starts of reads; servers write about 26 records per second, and the platform charges for each read
-	watchWait           = 400 * time.Millisecond  // of a read for the first change; the other VMs are updated as often
-	storeTimeout        = 700 * time.Millisecond  // of one call, in addition to its wait for changes; the store answers within 4 ms
-	storeRetryDelay     = 250 * time.Millisecond  // after a failed call, before the next one
-	readerRankDelay     = 80 * time.Millisecond   // between one VM and the next in the order in which they take over from a silent reader
-	readerTakeoverDelay = 900 * time.Millisecond  // without updates before the next VM reads; two updates may be lost
-	maxReaderDelay      = 1500 * time.Millisecond // without updates, after which every VM reads; configurations must be in force within 2 s
+	watchInterval = 350 * time.Millisecond // between starts of reads; servers write about 26 records per second, and the platform charges for each read
+	watchWait     = 400 * time.Millisecond // of a read for the first change; the other VMs are updated as often
+	storeTimeout  = 700 * time.Millisecond // of one call, in addition to its wait for changes; the store answers within 4 ms
 )
 
 // follower keeps the VM's catalog up to date, from the store or from other VMs.
 type follower struct {
-	g     *Gateway
-	store *platform.Store
+	g       *Gateway
+	store   *platform.Store
+	started time.Time // of this VM
 
 	mu              sync.Mutex
 	catalog         *catalog.Catalog
@@ -39,48 +37,54 @@
 }
 
 func newFollower(g *Gateway, store *platform.Store) *follower {
-	return &follower{g: g, store: store, catalog: catalog.New()}
+	return &follower{g: g, store: store, started: time.Now(), catalog: catalog.New()}
 }
 
 // loadInitial reads the store until this VM has a configuration, from the store or
 // from another VM.
 func (f *follower) loadInitial(ctx context.Context) {
-	for ctx.Err() == nil && f.g.table.Load() == nil {
+	for failures := 1; ctx.Err() == nil && f.g.table.Load() == nil; failures++ {
 		if f.readAll(ctx) {
 			return
 		}
-		sleep(ctx, storeRetryDelay)
+		sleep(ctx, f.turn().retryDelay(failures, rand.Float64()))
 	}
 }
 
 // follow reads the store for all VMs until ctx ends, except while updates arrive from
 // a VM that precedes this one in the order of readers.
 func (f *follower) follow(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
-		wait := f.timeUntilRead(time.Now())
-		if wait > 0 {
+		turn := f.turn()
+		if wait := f.timeUntilRead(time.Now(), turn); wait > 0 {
 			sleep(ctx, wait)
 			continue
 		}
 		started := time.Now()
-		if f.readChanges(ctx) {
+		if f.readChanges(ctx, turn.wait()) {
+			failures = 0
 			f.propagate(nil)
 			sleep(ctx, watchInterval-time.Since(started))
 			continue
 		}
-		sleep(ctx, storeRetryDelay)
+		failures++
+		sleep(ctx, turn.retryDelay(failures, rand.Float64()))
 	}
 }
 
+func (f *follower) turn() readTurn {
+	return readTurn{rank: f.rank(), settling: f.g.table.Load() != nil && time.Since(f.started) < settleTime}
+}
+
 // timeUntilRead returns the time until this VM has to read the store itself.
-func (f *follower) timeUntilRead(now time.Time) time.Duration {
-	rank := f.rank()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if rank == 0 {
+func (f *follower) timeUntilRead(now time.Time, turn readTurn) time.Duration {
+	silence := turn.silence()
+	if silence == 0 {
 		return 0
 	}
-	silence := min(maxReaderDelay, readerTakeoverDelay+time.Duration(rank)*readerRankDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return silence - f.catalog.Age(now)
 }
 
@@ -97,8 +101,9 @@
 }
 
 // readChanges applies the store's changes after the catalog's revision, or reads all
-// items if there is no such history. It reports whether the store answered.
-func (f *follower) readChanges(ctx context.Context) bool {
+// items if there is no such history. It waits for the first change for the given time.
+// It reports whether the store answered.
+func (f *follower) readChanges(ctx context.Context, wait time.Duration) bool {
 	f.mu.Lock()
 	after := f.catalog.Revision()
 	f.mu.Unlock()
@@ -106,9 +111,9 @@
 		return f.readAll(ctx)
 	}
 	started := time.Now()
-	call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+	call, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	items, revision, err := f.store.Watch(call, "", after, watchWait)
+	items, revision, err := f.store.Watch(call, "", after, wait)
 	if errs.KindOf(err) == errs.NotFound {
 		f.g.log.Info("store has dropped its history of changes; reading all items", zap.Uint64("after", after))
 		return f.readAll(ctx)
