--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -20,6 +20,7 @@
 	Timeline   TimelineCommand   `cmd:"" help:"Show the merged event timelines of all processes."`
 	Capacity   CapacityCommand   `cmd:"" help:"Estimate the resource use of the fleet."`
 	Explain    ExplainCommand    `cmd:"" help:"Explain from collected gateway logs why a request ended as it did."`
+	Account    AccountCommand    `cmd:"" help:"Count from collected gateway logs why requests were not served."`
 }
 
 // StoreFlags are the flags of commands that use the store and the agents of the VMs.
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -1,12 +1,6 @@
 package ctl
 
-import (
-	"io"
-	"os"
-
-	"lacewingmount.dev/errs"
-	"lacewingmount.dev/requestlog"
-)
+import "lacewingmount.dev/requestlog"
 
 // ExplainCommand explains from collected gateway logs why a request ended as it did.
 type ExplainCommand struct {
@@ -41,14 +35,10 @@
 // readLog reads the log lines that explain the request from a file, or from standard
 // input if path is "-".
 func readLog(path, request string) ([]requestlog.Line, error) {
-	var in io.Reader = os.Stdin
-	if path != "-" {
-		file, err := os.Open(path)
-		if err != nil {
-			return nil, errs.Wrap(err, errs.Invalid, "the log file cannot be opened", "pass files with the lines of all VMs")
-		}
-		defer func() { _ = file.Close() }() // an error does not matter, as the file is only read
-		in = file
+	in, closeLog, err := openLog(path)
+	if err != nil {
+		return nil, err
 	}
+	defer closeLog()
 	return requestlog.Read(in, request)
 }
