placement: requests that only the in-use floor demands go to the servers that failed for longest

Change: among nearly idle servers, the time since the first failure of a server's consecutive failure periods lowers its cost. Who counts as in use, and how many must be, is unchanged.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -240,8 +240,11 @@
 			continue
 		}
 		cost := c.costFor(now, &r.Request) + costJitter*b.random.Float64()
-		if useNearlyIdle && c.nearlyIdle && (nearlyIdle == nil || cost < lowestIdleCost) {
-			nearlyIdle, lowestIdleCost = c.server, cost
+		if useNearlyIdle && c.nearlyIdle {
+			idleCost := cost - recoveryCredit*c.health.recovery(now)
+			if nearlyIdle == nil || idleCost < lowestIdleCost {
+				nearlyIdle, lowestIdleCost = c.server, idleCost
+			}
 		}
 		if c.failingProbability <= tolerance && (best == nil || cost < lowestCost) {
 			best, lowestCost = c.server, cost
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -14,6 +14,7 @@
 	slowThreshold    = 1.3         // multiple of the mean latency up to which a server is not slow
 	maxSlowCost      = 0.5         // upper bound of the cost of a slow server
 	safeDiscount     = 0.4         // factor on the failure probability of safe requests: a failed read is repeated, so reads go to servers of unknown state first
+	recoveryCredit   = 0.5         // subtracted for a nearly idle server that has most likely recovered, when only the in-use floor demands a request
 	firstRequestWait = time.Second // time after joining after which a server without requests gets its first one
 )
 
--- a/placement/floor_test.go
+++ b/placement/floor_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -85,3 +86,27 @@
 		}
 	}
 }
+
+// Load: 40 requests a second, none of them safe, to 20 servers of which five fail, one
+// second after the other. The floor demands requests to failing servers; the first of
+// these go to the servers that have failed for longest, which most likely recovered.
+func TestFloorUsesServersThatLikelyRecovered(t *testing.T) {
+	sim := newSimulation(20, 6)
+	sim.run(5*time.Second, 40, nil)
+	sim.run(time.Second, 0, nil)
+	failing := []string{"s11", "s03", "s17", "s08", "s05"}
+	for i, id := range failing {
+		since := sim.now.Add(time.Duration(i-8) * time.Second)
+		s := sim.broker.servers[id]
+		s.used, s.health = sim.now.Add(-nearlyIdleAfter), health{lastFailure: sim.now, failingSince: since, failingUntil: sim.now.Add(3 * time.Second), periods: 2, awaitingProbe: true}
+	}
+	var order []string
+	for range 200 {
+		if d := sim.request("vm1", func(r *Request) { r.Zone = "elsewhere" }); slices.Contains(failing, d.Server) {
+			order = append(order, d.Server)
+		}
+	}
+	if len(order) < 2 || !slices.Equal(order, failing[:len(order)]) {
+		t.Errorf("the failing servers %v are used in the order %v, want the one that has failed for longest first", failing, order)
+	}
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -22,6 +22,7 @@
 	negligibleLossRate   = 0.001                   // loss rate below which it changes no choice
 	initialFailingShare  = 0.2                     // share of the servers that are failing at a random moment, before any probe
 	failingShareProbes   = 30.0                    // probes over which that share is averaged
+	maxRecoveryTime      = 10 * time.Second        // most servers stop failing within this time
 	minFailingShare      = 0.02                    // lower bound of that share; no deployment is free of failing servers
 	maxFailingShare      = 0.35                    // upper bound of that share
 )
@@ -33,6 +34,7 @@
 type health struct {
 	lastSuccess   time.Time // start of the newest request that the server answered
 	lastFailure   time.Time // time of the failure that began the newest failure period
+	failingSince  time.Time // time of the failure that began the first of the consecutive failure periods
 	failingUntil  time.Time // expected end of the failure period
 	periods       int       // consecutive failure periods
 	successes     int       // answers since the newest failure during a failure period
@@ -93,6 +95,9 @@
 	} else if h.awaitingProbe {
 		period.observe(true)
 	}
+	if h.periods == 0 {
+		h.failingSince = now
+	}
 	h.periods = min(maxFailurePeriods, h.periods+1)
 	h.lastFailure, h.awaitingProbe = now, true
 	h.failingUntil = now.Add(period.value * time.Duration(h.periods))
@@ -134,6 +139,16 @@
 	return share * (1 - math.Exp(-now.Sub(h.lastSuccess).Seconds()/successDecay.Seconds()))
 }
 
+// recovery ranks servers in failure periods by the time since their first failure: from
+// 0 for a server that has just begun to fail to 1 from maxRecoveryTime on, and for
+// servers that are not in a failure period.
+func (h *health) recovery(now time.Time) float64 {
+	if h.periods == 0 {
+		return 1
+	}
+	return min(1, now.Sub(h.failingSince).Seconds()/maxRecoveryTime.Seconds())
+}
+
 // stale reports whether the server's present state is unknown, because its last
 // outcomes are too old.
 func (h *health) stale(now time.Time) bool {
