--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -115,26 +115,42 @@
 	}
 }
 
-// Load: 200 requests a second, each with one retry.
-func TestRetriesStayWithinTheBudget(t *testing.T) {
-	limiter := retryLimiter{RetryBudget: testPolicy.Retries}
-	now := time.Unix(1000, 0)
-	var retries []time.Time
-	for range 40 * 200 {
-		now = now.Add(step)
+// retrySpender sends 200 requests a second, each with one retry if the budget allows it.
+type retrySpender struct {
+	elapsed time.Duration
+	retries []time.Duration
+}
+
+func (r *retrySpender) run(limiter *retryLimiter, seconds int) {
+	for range seconds * 200 {
+		r.elapsed += step
+		now := time.Unix(1000, 0).Add(r.elapsed)
 		limiter.observeRequest(now)
 		if limiter.canSpend(now) {
 			limiter.spend(now)
-			retries = append(retries, now)
+			r.retries = append(r.retries, r.elapsed)
 		}
 	}
+}
+
+// mostInWindow returns the most retries in any window of the budget.
+func (r *retrySpender) mostInWindow() int {
 	first, most := 0, 0
-	for i, at := range retries {
-		for at.Sub(retries[first]) >= limiter.Window {
+	for i, at := range r.retries {
+		for at-r.retries[first] >= testPolicy.Retries.Window {
 			first++
 		}
 		most = max(most, i-first+1)
 	}
+	return most
+}
+
+// Load: 200 requests a second, each with one retry.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	limiter := retryLimiter{RetryBudget: testPolicy.Retries}
+	var spender retrySpender
+	spender.run(&limiter, 40)
+	most := spender.mostInWindow()
 	requests := 200 * limiter.Window.Seconds()
 	bound := int(limiter.Ratio*requests) + limiter.Allowance
 	if most > bound || most < bound*3/4 {
@@ -142,6 +158,20 @@
 	}
 }
 
+// Load: 200 requests a second, each with one retry, while the owner of the service
+// changes every 4 s, as in a rolling restart. On fvfc-gateway-grown scale-1 each new owner
+// spent the allowance anew: 1,756 retries of 1,751.
+func TestNewOwnersStayWithinTheBudget(t *testing.T) {
+	var spender retrySpender
+	for _, seconds := range []int{20, 4, 4, 4, 4} {
+		spender.run(&retryLimiter{RetryBudget: testPolicy.Retries}, seconds)
+	}
+	most := spender.mostInWindow()
+	if bound := int(testPolicy.Retries.Ratio*200*10) + testPolicy.Retries.Allowance; most > bound {
+		t.Errorf("%d retries in 10 s, at most %d are allowed", most, bound)
+	}
+}
+
 // Load: 100 requests a second, each with one retry. The Broker grants no more
 // retries than the budget for each window of ten seconds allows.
 func TestBrokerHoldsRetriesToTheBudget(t *testing.T) {
--- a/placement/retry.go
+++ b/placement/retry.go
@@ -22,11 +22,15 @@
 	RetryBudget
 	requests, retries [retryWindowParts + 1]int // first attempts and retries by part; one part more, because the oldest is dropped as a whole
 	part              int64
+	started           time.Time // of counting
 }
 
 // advance clears the parts of the window that have expired and returns the index of
 // the current part.
 func (l *retryLimiter) advance(now time.Time) int {
+	if l.started.IsZero() {
+		l.started = now
+	}
 	part := now.UnixNano() / int64(l.Window/retryWindowParts)
 	for steps := min(part-l.part, retryWindowParts+1); steps > 0; steps-- {
 		index := (part - steps + 1) % (retryWindowParts + 1)
@@ -39,7 +43,8 @@
 func (l *retryLimiter) observeRequest(now time.Time) { l.requests[l.advance(now)]++ }
 
 // allowed returns the retries that the budget allows in the window that ends now, and
-// those that were spent in it.
+// those that were spent in it. In its first window a new owner leaves the allowance to
+// the owner before it, which may have spent all of it.
 func (l *retryLimiter) allowed(now time.Time) (allowed float64, spent int) {
 	l.advance(now)
 	requests := 0
@@ -47,7 +52,11 @@
 		requests += l.requests[i]
 		spent += l.retries[i]
 	}
-	return ratioUsable*l.Ratio*float64(requests) + allowanceUsable*float64(l.Allowance), spent
+	allowed = ratioUsable * l.Ratio * float64(requests)
+	if now.Sub(l.started) >= l.Window {
+		allowed += allowanceUsable * float64(l.Allowance)
+	}
+	return allowed, spent
 }
 
 // canSpend reports whether the budget allows a retry now.
