gateway, platform: bytes without end are bounded; one message cannot end the process

- A server's head without end (status line, header, headers, trailers before any answer) was read into memory until the deadline: 1.8 to 2.8 GB in one second.
A head ends after 64 KB (gateway/headlimit.go); an answer to another request is skipped up to 1 MB.
The attempt counts as a failure of the server, and the connection is closed.
- A caller's body that stalls held its request until the caller left.
It is read until the request's deadline, then answered 408, which is true: nothing was sent.
- A panic while a datagram is processed ended the process; it now drops the message, counts it (lacewing_mesh_panics_total) and logs the stack.
A datagram that expands beyond 4 MB and contents beyond 32 MB are errors; one longer than a datagram is not sent, and logged.
- The deadline of an attempt could be set after its caller had left and undo the cut.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -44,6 +44,7 @@
 // backendConn is a connection to a backend server.
 type backendConn struct {
 	net.Conn
+	limiter   *headLimiter
 	reader    *bufio.Reader
 	idleUntil time.Time
 	reused    bool
@@ -143,8 +144,8 @@
 		return x
 	}
 	x.conn, x.reused, x.sent = conn, conn.reused, true
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	_ = conn.SetDeadline(deadline) // fails only on a closed connection, which the write reports
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	x.err = x.roundTrip(request)
 	x.took = time.Since(started)
 	x.classify(ctx)
@@ -169,7 +170,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	limiter := &headLimiter{Conn: conn}
+	return &backendConn{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}, nil
 }
 
 // roundTrip writes the request and reads its answer, skipping answers to other
@@ -179,7 +181,9 @@
 		return err
 	}
 	for range maxSkippedAnswers {
+		x.conn.limiter.beginHead()
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: request.method})
+		x.conn.limiter.endHead()
 		if err != nil {
 			return err
 		}
@@ -191,8 +195,8 @@
 		}
 		if platform.ReadResponseHeaders(response.StatusCode, response.Header).RequestID != request.id {
 			mismatchedAnswers.Inc()
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return err
+			if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody)); err != nil || n == maxBufferedBody {
+				return errors.CombineErrors(errOtherRequest, err)
 			}
 			x.unusable = true // answers may no longer match requests on this connection
 			continue
--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 
@@ -17,6 +18,7 @@
 const (
 	maxDatagram       = 60 << 10 // bytes; an IPv4 datagram holds 65,507
 	minCompressedBody = 600      // bytes; shorter bodies are sent uncompressed, as they would shrink little
+	maxMessageBody    = 4 << 20  // bytes after decompression; a datagram of zeros would expand to 60 MB
 )
 
 // envelope is the header of each datagram. It is encoded as an array.
@@ -58,6 +60,11 @@
 		m.log.Warn("message not sent", zap.String("to", address), zap.Error(err))
 		return
 	}
+	if len(content) > maxDatagram {
+		meshFailures.Inc()
+		m.log.Warn("message not sent: it is longer than a datagram; the receiver fetches the contents instead", zap.String("kind", kindNames[k]), zap.Int("bytes", len(content)))
+		return
+	}
 	if _, err := m.conn.WriteToUDPAddrPort(content, target); err != nil {
 		meshFailures.Inc()
 		return
@@ -110,7 +117,7 @@
 		return head, nil, err
 	}
 	if head.Compressed {
-		return head, msgpack.NewDecoder(flate.NewReader(reader)), nil
+		return head, msgpack.NewDecoder(io.LimitReader(flate.NewReader(reader), maxMessageBody)), nil
 	}
 	return head, msgpack.NewDecoder(reader), nil
 }
@@ -128,14 +135,27 @@
 			continue
 		}
 		meshReceived.Add(n)
-		head, body, err := decode(buffer[:n])
-		if err == nil && head.From != m.self {
-			err = handle(head.From, head.Kind, body)
-		}
-		if err != nil {
-			meshFailures.Inc()
-			m.log.Warn("message cannot be decoded", zap.String("from", head.From), zap.Error(err))
+		m.process(buffer[:n], handle)
+	}
+}
+
+// process passes one datagram to handle. An error, or a panic of the decoder or of handle,
+// ends the processing of this message only.
+func (m *mesh) process(datagram []byte, handle func(from string, k kind, body *msgpack.Decoder) error) {
+	var head envelope
+	defer func() {
+		if cause := recover(); cause != nil {
+			meshPanics.Inc()
+			m.log.Error("message caused a panic and was dropped", zap.String("from", head.From), zap.Uint8("kind", uint8(head.Kind)), zap.Any("panic", cause), zap.Stack("stack"))
 		}
+	}()
+	head, body, err := decode(datagram)
+	if err == nil && head.From != m.self {
+		err = handle(head.From, head.Kind, body)
+	}
+	if err != nil {
+		meshFailures.Inc()
+		m.log.Warn("message cannot be decoded", zap.String("from", head.From), zap.Error(err))
 	}
 }
 
@@ -143,6 +163,7 @@
 	meshSent     = newMeshSent()
 	meshReceived = metrics.GetOrCreateCounter("lacewing_mesh_received_bytes_total")
 	meshFailures = metrics.GetOrCreateCounter("lacewing_mesh_failures_total")
+	meshPanics   = metrics.GetOrCreateCounter("lacewing_mesh_panics_total")
 )
 
 func newMeshSent() [kindCount]*metrics.Counter {
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -3,6 +3,7 @@
 import (
 	"compress/flate"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -24,6 +25,7 @@
 	treeWidth        = 6                      // members per node; three levels reach 258 VMs
 	minFetchInterval = 200 * time.Millisecond // between fetches from other VMs
 	fetchTimeout     = 500 * time.Millisecond
+	maxContents      = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
 	contentsPath     = "/contents" // HTTP path of a VM's catalog contents
 )
 
@@ -151,7 +153,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var contents update
-	if err := msgpack.NewDecoder(flate.NewReader(response.Body)).Decode(&contents); err != nil {
+	if err := msgpack.NewDecoder(io.LimitReader(flate.NewReader(response.Body), maxContents)).Decode(&contents); err != nil {
 		return nil, errs.Wrap(err, errs.Ambiguous, "catalog contents of another VM cannot be decoded", "run the same version on all VMs")
 	}
 	return &contents, nil
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -135,8 +136,11 @@
 	if q.r.ContentLength > limit {
 		return &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := q.readAll(limit)
 	if err != nil {
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			return &refusal{http.StatusRequestTimeout, 0, "body did not arrive before the deadline"}
+		}
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			return &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 		}
@@ -149,6 +153,22 @@
 	return nil
 }
 
+// readAll reads the body until the deadline.
+func (q *request) readAll(limit int64) ([]byte, error) {
+	if q.r.Body == http.NoBody {
+		return nil, nil
+	}
+	connection := http.NewResponseController(q.w)
+	if err := connection.SetReadDeadline(q.deadline); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	return body, connection.SetReadDeadline(time.Time{}) // otherwise the end of this deadline counts as the caller's leaving
+}
+
 // maxBodyBytes limits request bodies where the configuration sets no limit.
 const maxBodyBytes = 64 << 20
 
--- a/placement/retry.go
+++ b/placement/retry.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	retryWindowParts = 10  // parts of the retry window; smaller parts expire more evenly
-	allowanceUsable  = 0.8 // share of the allowance that is used, because a VM that cannot reach the owner adds its own retries
-	ratioUsable      = 0.9 // share of the ratio that is used, because the owner does not see all requests
+	retryWindowParts  = 10  // parts of the retry window; smaller parts expire more evenly
+	allowanceUsable   = 0.8 // share of the allowance that is used, because a VM that cannot reach the owner adds its own retries
+	newOwnerAllowance = 0.1 // the same in the first window of a new owner; the ownership may move twice in a window
+	ratioUsable       = 0.9 // share of the ratio that is used, because the owner does not see all requests
 )
 
 // RetryBudget limits the retries of a service: in any span of length Window there
@@ -43,8 +44,8 @@
 func (l *retryLimiter) observeRequest(now time.Time) { l.requests[l.advance(now)]++ }
 
 // allowed returns the retries that the budget allows in the window that ends now, and
-// those that were spent in it. In its first window a new owner leaves the allowance to
-// the owner before it, which may have spent all of it.
+// those that were spent in it. In its first window a new owner uses little of the
+// allowance, because the owner before it may have spent its whole part.
 func (l *retryLimiter) allowed(now time.Time) (allowed float64, spent int) {
 	l.advance(now)
 	requests := 0
@@ -52,11 +53,11 @@
 		requests += l.requests[i]
 		spent += l.retries[i]
 	}
-	allowed = ratioUsable * l.Ratio * float64(requests)
-	if now.Sub(l.started) >= l.Window {
-		allowed += allowanceUsable * float64(l.Allowance)
+	share := allowanceUsable
+	if now.Sub(l.started) < l.Window {
+		share = newOwnerAllowance
 	}
-	return allowed, spent
+	return ratioUsable*l.Ratio*float64(requests) + share*float64(l.Allowance), spent
 }
 
 // canSpend reports whether the budget allows a retry now.
--- a/requestlog/cause.go
+++ b/requestlog/cause.go
@@ -55,6 +55,7 @@
 	{"over its rate", CauseRate},
 	{"caller left", CauseCallerLeft},
 	{"connection ended before the end of the body", CauseCallerLeft},
+	{"body did not arrive before the deadline", CauseCallerLeft},
 	{"the queue is too long", CauseQueue},
 	{"the queue grew", CauseQueue},
 	{"waited too long", CauseQueue},
