--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -99,7 +99,8 @@
 // and that a request refused as not run did not run.
 func (env *testEnv) checkResponse(c *call, runs []platformtest.Run) {
 	if took := c.doneAt.Sub(c.sentAt); took > routeTimeout+responseTolerance && !c.cancelled && env.undisturbed(c.sentAt, c.doneAt, c.vm.name) {
-		env.reportViolation("CONFIG", c, runs, "no response within the route's timeout, but after "+took.String())
+		env.reportViolation("CONFIG", c, runs, "no response within the route's timeout, but after "+took.String()+
+			"; longest stall of this process meanwhile "+env.stalls.longest(c.sentAt, c.doneAt).String()+"; the VM's line: "+env.vmLine(c))
 	}
 	if c.err != nil {
 		return
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -45,6 +45,7 @@
 	ctx    context.Context
 	store  *platformtest.Store
 	vms    []*vm
+	stalls stallMeter
 
 	mu           sync.Mutex
 	servers      []*backendServer // including those that are gone
@@ -90,6 +91,7 @@
 		env.addServer()
 	}
 	go env.writeHeartbeats()
+	go env.stalls.run(env.ctx.Done())
 	ports := platformtest.FreePorts(env.t, portsPerVM**vmCount)
 	for i := range *vmCount {
 		env.vms = append(env.vms, env.newVM(fmt.Sprintf("vm-%d", i+1), strings.TrimPrefix(store.URL, "http://"), ports[i*portsPerVM:]))
