--- a/placement/doc.go
+++ b/placement/doc.go
@@ -26,6 +26,12 @@
 // probability the longer it has waited. So a suspect server stays unused while the
 // others have free slots, and is used when they have none.
 //
+// # Retries
+//
+// A retry waits for the retry budget and a free slot as long as its deadline allows; the
+// servers have not run its request, so waiting costs it only time. A retry that the budget
+// is not expected to allow in time is refused at once.
+//
 // # Load shedding
 //
 // A request that would wait longer than its target latency allows is refused at
