--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -142,6 +142,9 @@
 			}
 			defer func() { _ = conn.Close() }()
 			began := time.Now()
+			if err := conn.SetDeadline(began.Add(3 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
 			go func() {
 				_, err := conn.Write([]byte(c.first))
 				for block := []byte(strings.Repeat(c.next, 1<<10)); err == nil && len(block) > 0; {
