--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -75,6 +79,46 @@
 	})
 }
 
+// answerConn is a connection to a server that sends the answer and closes.
+type answerConn struct {
+	net.Conn
+	answer *bytes.Reader
+}
+
+func (c *answerConn) Read(p []byte) (int, error) { return c.answer.Read(p) }
+
+func (c *answerConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// Load: servers that answer with any bytes. Only a signed success with the request's id
+// counts as one, whatever else the bytes are.
+func FuzzServerAnswer(f *testing.F) {
+	const signed = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n"
+	for _, answer := range []string{
+		signed + "Content-Length: 2\r\n\r\nok", signed + "Content-Length: 9\r\n\r\ncut", signed + "\r\nuntil the end",
+		signed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", signed + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" + signed + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Executed: true\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 101 Up\r\n\r\n", "\x00\xff", signed + "Content-Length: -1\r\n\r\n",
+	} {
+		f.Add([]byte(answer))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		limiter := &headLimiter{Conn: &answerConn{answer: bytes.NewReader(answer)}}
+		x := &exchange{conn: &backendConn{Conn: limiter.Conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}, sent: true}
+		x.err = x.roundTrip(&outbound{method: http.MethodGet, uri: "/", host: "h", id: "r1", header: http.Header{}})
+		x.classify(t.Context())
+		if x.err != nil {
+			if x.outcome == placement.Answered {
+				t.Errorf("an answer that failed with %v counts as one", x.err)
+			}
+			return
+		}
+		headers := platform.ReadResponseHeaders(x.status, x.header)
+		if headers.RequestID != "r1" || x.status < http.StatusMultipleChoices && !headers.Signed {
+			t.Errorf("status %d with headers %v is delivered", x.status, x.header)
+		}
+	})
+}
+
 // Load: a message whose processing panics, and then another one. The second one is
 // processed.
 func TestPanicDropsOneMessageOnly(t *testing.T) {
