gateway: a request may return to the only server, if that refused it without running it

Change: refusals exclude no server. Also a test that a message longer than a datagram is not sent in part.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -18,15 +18,12 @@
 	reached    []string // servers that received the request
 	excluded   []string // servers that must not get it again
 	arrivals   int      // times that a server received the request
-	refusedBy  string   // server that refused the last attempt without running it; "" if none did
 }
 
-// record adds the outcome of an attempt.
+// record adds the outcome of an attempt. A server that refused the request without
+// running it may get it again; placement leaves it alone for a moment.
 func (p *attemptPlan) record(server string, outcome placement.Outcome) {
-	p.refusedBy = ""
-	if outcome == placement.Shed {
-		p.refusedBy = server
-	} else {
+	if outcome != placement.Shed {
 		p.excluded = append(p.excluded, server)
 	}
 	if outcome == placement.Unreachable {
@@ -41,9 +38,9 @@
 // exclude keeps the request from a server that it was not sent to.
 func (p *attemptPlan) exclude(server string) { p.excluded = append(p.excluded, server) }
 
-// choices returns the servers that must not get the request now and, if not empty, the
-// only ones that may. registered reports whether a server is still registered; servers
-// that have left do not count as reached.
+// choices returns the servers that must not get the request and, if not empty, the only
+// ones that may. registered reports whether a server is still registered; servers that
+// have left do not count as reached.
 func (p *attemptPlan) choices(registered func(server string) bool) (tried, only []string) {
 	remaining := 0
 	for _, server := range p.reached {
@@ -58,11 +55,7 @@
 	if remaining < p.maxServers {
 		only = nil
 	}
-	tried = slices.Clone(p.excluded)
-	if p.refusedBy != "" && len(only) != 1 {
-		tried = append(tried, p.refusedBy)
-	}
-	return tried, only
+	return slices.Clone(p.excluded), only
 }
 
 // exhausted reports whether no server may get the request any more.
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"strings"
 	"testing"
 
@@ -62,3 +64,28 @@
 		}
 	}
 }
+
+// Load: an update that is longer than a datagram. It is not sent in part; the receivers
+// notice the difference and fetch the contents.
+func TestMessageLongerThanADatagramIsNotSent(t *testing.T) {
+	g := fuzzGateway(t)
+	receiver, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = receiver.Close() }()
+	noise := make([]byte, 2*maxDatagram)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise) // never fails; does not compress
+	failures := meshFailures.Get()
+	g.mesh.send(receiver.LocalAddr().String(), kindUpdate, &update{Changes: []catalog.Change{{Config: noise}}})
+	g.mesh.send(receiver.LocalAddr().String(), kindSyncAck, &syncAck{})
+	buffer := make([]byte, 2*maxDatagram)
+	n, _, err := receiver.ReadFromUDP(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, _, err := decode(buffer[:n])
+	if err != nil || head.Kind != kindSyncAck || meshFailures.Get() != failures+1 {
+		t.Errorf("received kind %d, %v; %d failures counted, want one", head.Kind, err, meshFailures.Get()-failures)
+	}
+}
