--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -73,6 +73,7 @@
 	}
 }
 
+// turn returns this VM's present place among the VMs that read the store.
 func (f *follower) turn() readTurn {
 	return readTurn{rank: f.rank(), settling: f.g.table.Load() != nil && time.Since(f.started) < settleTime}
 }
--- a/requestlog/cause.go
+++ b/requestlog/cause.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+const (
+	fastFailureLimit = 60 * time.Millisecond // of placement: a later failure came after work
+	knownFailing     = 0.9                   // estimated probability from which the owner knew that the server fails
+	failureMemory    = 10 * time.Second      // after a failure period, in which the first failure counts as one of a probe
+	clockDifference  = 5 * time.Millisecond  // between the clocks of two VMs
+)
+
 // Cause is why a request was not served.
 type Cause string
 
@@ -28,10 +35,6 @@
 	CauseCallerLeft      Cause = "caller left"
 	CauseDeadline        Cause = "deadline before an attempt"
 	CauseUnclassified    Cause = "other"
-	fastFailureLimit           = 60 * time.Millisecond // of placement: a later failure came after work
-	knownFailing               = 0.9                   // estimated probability from which the owner knew that the server fails
-	failureMemory              = 10 * time.Second      // after a failure period, in which the first failure counts as one of a probe
-	clockDifference            = 5 * time.Millisecond  // between the clocks of two VMs
 )
 
 // Causes lists all causes in the order in which reports show them.
