agent: VMs that restart together in an outage do not wait for each other

It showed when agent-2 was killed before agent-1 had heard from it.

Test: failed first on both VMs.

--- a/agent/authority.go
+++ b/agent/authority.go
@@ -31,13 +31,15 @@
 func newAuthority() *authority { return &authority{reportedPeers: map[string]bool{}} }
 
 // confirmStore records that this VM's document was the store's newest at the given
-// instant. An instant before the start of this VM does not confirm the document: a peer
-// that has been without the store since then may have missed a newer one.
+// instant. An instant before the start of this VM confirms the document only after
+// staleAfterWithPeers: a peer that has been without the store since then may have missed a
+// newer one, which the others will have passed on by then. Without that limit, VMs that
+// restart together in an outage would wait for each other.
 func (a *Agent) confirmStore(at time.Time) {
 	a.authority.mu.Lock()
 	a.authority.keys.ConfirmStore(at)
 	a.authority.mu.Unlock()
-	if !at.Before(a.started) {
+	if !at.Before(a.started) || a.since(a.started) >= staleAfterWithPeers {
 		a.state.setConfirmed()
 	}
 }
--- a/agent/config_proof_test.go
+++ b/agent/config_proof_test.go
@@ -132,6 +132,23 @@
 	})
 }
 
+// Two of three VMs restart together during an outage of the store. Each of them waits for
+// a peer that is confirmed, and has only one; they must not wait for each other for ever.
+func TestProofConfigRestartsInAnOutageDoNotWaitForEachOther(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.setCuts(nil, func(string) bool { return true })
+		f.kill(0)
+		f.kill(1)
+		restarted := []*Agent{f.start(0), f.start(1)}
+		time.Sleep(staleAfterWithPeers + convergenceBound/2)
+		for _, agent := range restarted {
+			if snapshot, _ := agent.state.current(); snapshot.Document == nil {
+				t.Errorf("%s has not confirmed its document", agent.settings.VM)
+			}
+		}
+	})
+}
+
 // A VM that starts without the platform's list knows only the peer that contacts it
 // first. That peer alone must not confirm the document at once, since others may have a
 // newer one.
