--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -121,6 +121,16 @@
 	return answer.StatusCode == http.StatusOK
 }
 
+// do sends one request over a connection of its own and returns the answer.
+func (v *vm) do(call platformtest.Call) (platformtest.Reply, error) {
+	c, err := platformtest.Dial(v.callers, time.Second)
+	if err != nil {
+		return platformtest.Reply{}, err
+	}
+	defer c.Close()
+	return c.Do(call)
+}
+
 // waitFor waits up to 5 s for a condition, and fails the test if it does not hold.
 func (f *fleet) waitFor(what string, holds func() bool) {
 	f.t.Helper()
