gateway: a stop waits until the answers of the last requests are written

Callers saw: a connection that ends without an answer, or in the middle of one, while a VM stops, although the server had answered. Cause: requests in progress were counted until their handler returned. net/http writes the end of an answer (all of one under 2 KB) after that; a stop that saw the count at 0 closed all connections. With a full window the write takes as long as the link needs. Change: http.Server.Shutdown, which knows when a connection is idle again, instead of Close; Close only at the end of the grace period.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 	refuseAfter        = 3200 * time.Millisecond // from the start of a shutdown until new requests are refused; the balancer removes the VM within 2 to 3 s
 	leaveAnnouncements = 4                       // repeats of the announcement that this VM leaves; datagrams can be lost
 	graceMargin        = 300 * time.Millisecond  // between the end of the last request and SIGKILL
+	exitMargin         = 100 * time.Millisecond  // between the end of the last answer and SIGKILL
 	drainPollInterval  = 20 * time.Millisecond   // between checks whether the last requests have ended
 	quietTime          = 250 * time.Millisecond  // without a new request before the connections are closed; requests may still be in sockets
 )
@@ -33,6 +35,18 @@
 	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.settings.Bounds.GracePeriod-graceMargin {
 		time.Sleep(drainPollInterval)
 	}
+	g.closeConnections(server, began.Add(g.settings.Bounds.GracePeriod-exitMargin))
+}
+
+// closeConnections closes the listener and the connections. Those on which an answer is
+// being written are closed when it is complete, or at the end.
+func (g *Gateway) closeConnections(server *http.Server, end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err == nil {
+		return
+	}
+	g.log.Warn("connections closed before their answers were complete", zap.Int64("active", g.active.Load()))
 	if err := server.Close(); err != nil {
 		g.log.Warn("listener not closed", zap.Error(err))
 	}
