gateway: a stopping VM accepts requests for half of its grace period, not for a fixed 3.2 s

Callers saw: a connection that ends without an answer, while the server went on with the request, around planned stops of VMs. Cause: new requests were accepted for 3.2 s whatever the grace period was, and connections closed 0.3 s before its end. In a grace period of 6 s a request that came last had 2.5 s, with 4 s it had 0.5 s. Operators count requests that are sent within 3 s of 6 s as acceptable. Change: shutdownSchedule derives all times of a stop from the grace period; requests are accepted in its first half.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,8 +54,8 @@
 	stopping     atomic.Bool  // shutting down: not ready, and answers close their connections
 	refusing     atomic.Bool  // shutting down: new requests are refused
 
-	logSampler  sampler
-	refuseAfter time.Duration // the constant refuseAfter, except in tests
+	logSampler sampler
+	schedule   shutdownSchedule
 
 	pendingMu sync.Mutex
 	pending   map[uint64]chan reply
@@ -82,7 +82,7 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(),
-		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, refuseAfter: refuseAfter,
+		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod),
 	}
 	g.owned.onAvoidanceChange = g.logAvoidance
 	g.seq.Store(incarnation) // sequence numbers of an earlier start must not be reused
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -9,14 +9,29 @@
 )
 
 const (
-	refuseAfter        = 3200 * time.Millisecond // from the start of a shutdown until new requests are refused; the balancer removes the VM within 2 to 3 s
-	leaveAnnouncements = 4                       // repeats of the announcement that this VM leaves; datagrams can be lost
-	graceMargin        = 300 * time.Millisecond  // between the end of the last request and SIGKILL
-	exitMargin         = 100 * time.Millisecond  // between the end of the last answer and SIGKILL
-	drainPollInterval  = 20 * time.Millisecond   // between checks whether the last requests have ended
-	quietTime          = 250 * time.Millisecond  // without a new request before the connections are closed; requests may still be in sockets
+	acceptShare        = 0.5                    // of the grace period: requests that arrive later are refused. The rest of it is for those accepted; the balancer removes the VM within 2 to 3 s
+	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
+	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL
+	exitMargin         = 100 * time.Millisecond // between the end of the last answer and SIGKILL
+	drainPollInterval  = 20 * time.Millisecond  // between checks whether the last requests have ended
+	quietTime          = 250 * time.Millisecond // without a new request before the connections are closed; requests may still be in sockets
 )
 
+// shutdownSchedule holds the times from the start of a shutdown until its phases begin.
+type shutdownSchedule struct {
+	refuse time.Duration // requests that arrive are refused
+	close  time.Duration // the connections are closed, even if requests are in progress
+	end    time.Duration // the process ends
+}
+
+func newShutdownSchedule(gracePeriod time.Duration) shutdownSchedule {
+	return shutdownSchedule{
+		refuse: time.Duration(acceptShare * float64(gracePeriod)),
+		close:  gracePeriod - graceMargin,
+		end:    gracePeriod - exitMargin,
+	}
+}
+
 // shutDown waits until the balancer has removed the VM, removes the registration,
 // finishes the accepted requests and closes the connections. unregister must not block.
 func (g *Gateway) shutDown(server *http.Server, unregister func()) {
@@ -25,17 +40,17 @@
 	g.stopping.Store(true)
 	g.peers.markLeaving()
 	g.announce(true)
-	for time.Since(began) < g.refuseAfter {
-		time.Sleep(g.refuseAfter / leaveAnnouncements)
+	for time.Since(began) < g.schedule.refuse {
+		time.Sleep(g.schedule.refuse / leaveAnnouncements)
 		g.announce(true)
 	}
 	g.refusing.Store(true)
 	refusingSince := time.Now()
 	unregister()
-	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.settings.Bounds.GracePeriod-graceMargin {
+	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.close {
 		time.Sleep(drainPollInterval)
 	}
-	g.closeConnections(server, began.Add(g.settings.Bounds.GracePeriod-exitMargin))
+	g.closeConnections(server, began.Add(g.schedule.end))
 }
 
 // closeConnections closes the listener and the connections. Those on which an answer is
