gateway: a stopping VM refuses the requests that still wait for a server

Callers saw: a connection that ends without an answer when a VM stops, for a request that no server has run and that another VM could have served. Those that may have run cannot be refused so, and go on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	stopping     atomic.Bool  // shutting down: not ready, and answers close their connections
 	refusing     atomic.Bool  // shutting down: new requests are refused
 
+	waits    context.Context    // ends when a shutdown refuses the requests that wait for a server
+	endWaits context.CancelFunc // ends waits
+
 	logSampler sampler
 	schedule   shutdownSchedule
 
@@ -84,6 +87,7 @@
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(),
 		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod),
 	}
+	g.waits, g.endWaits = context.WithCancel(context.Background())
 	g.owned.onAvoidanceChange = g.logAvoidance
 	g.seq.Store(incarnation) // sequence numbers of an earlier start must not be reused
 	g.follower = newFollower(g, platform.NewStore(settings.Store))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/membership"
@@ -245,7 +246,11 @@
 			return nil, repeat != nil
 		case <-ctx.Done():
 			g.complete(service, slotRequest.ID.Seq, "", placement.Unused, 0, owner)
-			return &placementResult{Owner: owner, Decision: placement.Decision{ID: slotRequest.ID, Verdict: placement.Refused, Reason: "caller left"}}, false
+			refused := placement.Decision{ID: slotRequest.ID, Verdict: placement.Refused, Reason: "caller left"}
+			if errors.Is(context.Cause(ctx), errStopping) {
+				refused.Reason, refused.RetryAfter = errStopping.Error(), stoppingRetryAfter
+			}
+			return &placementResult{Owner: owner, Decision: refused}, false
 		}
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,7 +83,7 @@
 		return &refusal{http.StatusServiceUnavailable, startRetryAfter, "no configuration yet"}
 	}
 	if q.g.refusing.Load() {
-		return &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "this VM stops"}
+		return &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, errStopping.Error()}
 	}
 	q.route = q.table.route(q.r.Host, q.r.URL.Path)
 	if q.route == nil {
@@ -197,7 +197,9 @@
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
 			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
 		}
-		decision := q.g.place(ctx, q.service, slotRequest)
+		waiting, endWait := q.waitContext(ctx)
+		decision := q.g.place(waiting, q.service, slotRequest)
+		endWait()
 		if decision.Verdict != placement.Granted {
 			q.refused = &decision
 			if failedAnswer != nil {
@@ -225,10 +227,29 @@
 	}
 }
 
+// waitContext returns a context for the wait for a server. It ends with errStopping when a
+// shutdown refuses the requests that wait, unless the request may have run: then it cannot
+// be refused as not run.
+func (q *request) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if q.mayHaveRun() {
+		return ctx, func() {}
+	}
+	waiting, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(q.g.waits, func() { cancel(errStopping) })
+	return waiting, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // maxAttempts limits the servers that a request is sent to, whatever the route allows.
 const maxAttempts = 4
 
-var errDeadline = errors.New("request deadline exceeded")
+// Causes of the end of a request's context.
+var (
+	errDeadline = errors.New("request deadline exceeded")
+	errStopping = errors.New("this VM stops")
+)
 
 // tryServer sends the request to the server that was granted, and reports the outcome
 // to the owner of the service.
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -10,6 +10,7 @@
 
 const (
 	acceptShare        = 0.5                    // of the grace period: requests that arrive later are refused. The rest of it is for those accepted; the balancer removes the VM within 2 to 3 s
+	waitShare          = 2.0 / 3                // of the grace period: requests that still wait for a server then are refused. Few servers take longer than the rest of it
 	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
 	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL
 	exitMargin         = 100 * time.Millisecond // between the end of the last answer and SIGKILL
@@ -19,16 +20,18 @@
 
 // shutdownSchedule holds the times from the start of a shutdown until its phases begin.
 type shutdownSchedule struct {
-	refuse time.Duration // requests that arrive are refused
-	close  time.Duration // the connections are closed, even if requests are in progress
-	end    time.Duration // the process ends
+	refuse   time.Duration // requests that arrive are refused
+	endWaits time.Duration // requests that wait for a server, and that none has run, are refused
+	close    time.Duration // the connections are closed, even if requests are in progress
+	end      time.Duration // the process ends
 }
 
 func newShutdownSchedule(gracePeriod time.Duration) shutdownSchedule {
 	return shutdownSchedule{
-		refuse: time.Duration(acceptShare * float64(gracePeriod)),
-		close:  gracePeriod - graceMargin,
-		end:    gracePeriod - exitMargin,
+		refuse:   time.Duration(acceptShare * float64(gracePeriod)),
+		endWaits: time.Duration(waitShare * float64(gracePeriod)),
+		close:    gracePeriod - graceMargin,
+		end:      gracePeriod - exitMargin,
 	}
 }
 
@@ -47,6 +50,8 @@
 	g.refusing.Store(true)
 	refusingSince := time.Now()
 	unregister()
+	timer := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
+	defer timer.Stop()
 	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.close {
 		time.Sleep(drainPollInterval)
 	}
