gateway: a stopping VM refuses the uploads that have not ended

Callers saw: a connection that ends without an answer when a VM stops, in the middle of an upload; they learnt only then, after the whole grace period, that they should go elsewhere. Cause: the body is read until the request's deadline; a stop closed the connection before. Change: at two thirds of the grace period the read ends, and the request is refused as not run, which is true: a request is sent to a server only after its whole body has been read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,7 @@
 	stopping     atomic.Bool  // shutting down: not ready, and answers close their connections
 	refusing     atomic.Bool  // shutting down: new requests are refused
 
-	waits    context.Context    // ends when a shutdown refuses the requests that wait for a server
+	waits    context.Context    // ends when a shutdown refuses the requests that wait for their body or for a server
 	endWaits context.CancelFunc // ends waits
 
 	logSampler sampler
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -138,6 +138,9 @@
 	}
 	body, err := q.readAll(limit)
 	if err != nil {
+		if errors.Is(err, errStopping) {
+			return &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "body did not arrive before this VM stops"}
+		}
 		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
 			return &refusal{http.StatusRequestTimeout, 0, "body did not arrive before the deadline"}
 		}
@@ -153,7 +156,8 @@
 	return nil
 }
 
-// readAll reads the body until the deadline.
+// readAll reads the body until the deadline, or until a shutdown refuses the requests that
+// wait.
 func (q *request) readAll(limit int64) ([]byte, error) {
 	if q.r.Body == http.NoBody {
 		return nil, nil
@@ -162,7 +166,11 @@
 	if err := connection.SetReadDeadline(q.deadline); err != nil {
 		return nil, err
 	}
+	stop := context.AfterFunc(q.g.waits, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection, which the read reports
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	if !stop() {
+		return nil, errStopping
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -10,7 +10,7 @@
 
 const (
 	acceptShare        = 0.5                    // of the grace period: requests that arrive later are refused. The rest of it is for those accepted; the balancer removes the VM within 2 to 3 s
-	waitShare          = 2.0 / 3                // of the grace period: requests that still wait for a server then are refused. Few servers take longer than the rest of it
+	waitShare          = 2.0 / 3                // of the grace period: requests that still wait then are refused. Few servers take longer than the rest of it
 	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
 	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL
 	exitMargin         = 100 * time.Millisecond // between the end of the last answer and SIGKILL
@@ -21,7 +21,7 @@
 // shutdownSchedule holds the times from the start of a shutdown until its phases begin.
 type shutdownSchedule struct {
 	refuse   time.Duration // requests that arrive are refused
-	endWaits time.Duration // requests that wait for a server, and that none has run, are refused
+	endWaits time.Duration // requests that wait for their body or for a server are refused, if none has run them
 	close    time.Duration // the connections are closed, even if requests are in progress
 	end      time.Duration // the process ends
 }
