gateway: a stopping VM answers the requests that it gives up

Callers saw: a connection that ends without an answer at the end of a VM's grace period. Cause: the connections were closed while handlers still waited for a server. Change: the context of all requests ends first, with the cause errStopping. A request at a server is answered 504 (it may have run), a retry that may have run 502; the server's record does not count it as a failure. The answers are written in the 0.2 s before the process ends.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -264,8 +264,9 @@
 	if x.err != nil {
 		x.outcome = placement.Broken
 		var timeout net.Error
+		cause := context.Cause(ctx)
 		switch {
-		case errors.Is(context.Cause(ctx), context.Canceled):
+		case errors.Is(cause, context.Canceled) || errors.Is(cause, errStopping):
 			x.outcome = placement.Unused
 		case errors.As(x.err, &timeout) && timeout.Timeout():
 			x.outcome = placement.Silent
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,8 +54,10 @@
 	stopping     atomic.Bool  // shutting down: not ready, and answers close their connections
 	refusing     atomic.Bool  // shutting down: new requests are refused
 
-	waits    context.Context    // ends when a shutdown refuses the requests that wait for their body or for a server
-	endWaits context.CancelFunc // ends waits
+	waits    context.Context         // ends when a shutdown refuses the requests that wait for their body or for a server
+	endWaits context.CancelFunc      // ends waits
+	requests context.Context         // parent of the contexts of all requests; ends when a shutdown gives them up
+	giveUp   context.CancelCauseFunc // ends requests
 
 	logSampler sampler
 	schedule   shutdownSchedule
@@ -88,6 +90,7 @@
 		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod),
 	}
 	g.waits, g.endWaits = context.WithCancel(context.Background())
+	g.requests, g.giveUp = context.WithCancelCause(context.Background())
 	g.owned.onAvoidanceChange = g.logAvoidance
 	g.seq.Store(incarnation) // sequence numbers of an earlier start must not be reused
 	g.follower = newFollower(g, platform.NewStore(settings.Store))
@@ -114,7 +117,10 @@
 	if err := daemon.ServeHTTP(serving, g.self.Address, fleet); err != nil {
 		return err
 	}
-	server := &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{
+		Handler: g, BaseContext: func(net.Listener) context.Context { return g.requests },
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	go func() {
 		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("listener for callers failed; restart the VM", zap.Error(err))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -361,6 +361,8 @@
 			return &refusal{http.StatusBadGateway, 0, "no server accepted the retry"}
 		}
 		return &refusal{http.StatusServiceUnavailable, shedRetryAfter, "none of the servers tried accepted the request"}
+	case x.err != nil && errors.Is(context.Cause(ctx), errStopping):
+		return &refusal{http.StatusGatewayTimeout, 0, "server did not answer before the end of this VM's grace period"}
 	case x.err != nil && q.r.Context().Err() != nil:
 		return &refusal{http.StatusBadGateway, 0, "caller left"}
 	case x.err != nil && ctx.Err() != nil:
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -12,7 +12,7 @@
 	acceptShare        = 0.5                    // of the grace period: requests that arrive later are refused. The rest of it is for those accepted; the balancer removes the VM within 2 to 3 s
 	waitShare          = 2.0 / 3                // of the grace period: requests that still wait then are refused. Few servers take longer than the rest of it
 	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
-	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL
+	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL; its answer is written meanwhile
 	exitMargin         = 100 * time.Millisecond // between the end of the last answer and SIGKILL
 	drainPollInterval  = 20 * time.Millisecond  // between checks whether the last requests have ended
 	quietTime          = 250 * time.Millisecond // without a new request before the connections are closed; requests may still be in sockets
@@ -22,7 +22,7 @@
 type shutdownSchedule struct {
 	refuse   time.Duration // requests that arrive are refused
 	endWaits time.Duration // requests that wait for their body or for a server are refused, if none has run them
-	close    time.Duration // the connections are closed, even if requests are in progress
+	giveUp   time.Duration // requests in progress are given up, and the connections are closed
 	end      time.Duration // the process ends
 }
 
@@ -30,7 +30,7 @@
 	return shutdownSchedule{
 		refuse:   time.Duration(acceptShare * float64(gracePeriod)),
 		endWaits: time.Duration(waitShare * float64(gracePeriod)),
-		close:    gracePeriod - graceMargin,
+		giveUp:   gracePeriod - graceMargin,
 		end:      gracePeriod - exitMargin,
 	}
 }
@@ -52,9 +52,10 @@
 	unregister()
 	timer := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
 	defer timer.Stop()
-	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.close {
+	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.giveUp {
 		time.Sleep(drainPollInterval)
 	}
+	g.giveUp(errStopping)
 	g.closeConnections(server, began.Add(g.schedule.end))
 }
 
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -102,6 +102,7 @@
 
 // Load: the last request of a VM that stops is answered over a slow link.
 func TestShutdownDoesNotCutOffAnAnswerThatIsBeingWritten(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1)
 	f.configure(defaultParameters)
 	v := f.startReady("vm-1")
@@ -125,6 +126,7 @@
 // Load: a request that one server refused waits for a slot of the other, which are taken
 // for longer than a stopping VM may run.
 func TestShutdownRefusesRetriesThatStillWaitForAServer(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 2)
 	parameters := defaultParameters
 	parameters.timeout = "20s"
@@ -175,6 +177,7 @@
 
 // Load: a server does not answer until the end of the grace period.
 func TestShutdownAnswersTheRequestsThatItGivesUp(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1)
 	parameters := defaultParameters
 	parameters.timeout = "20s"
@@ -199,6 +202,7 @@
 
 // Load: a caller sends half of an upload and waits.
 func TestShutdownRefusesUploadsThatDoNotEnd(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1)
 	parameters := defaultParameters
 	parameters.timeout = "20s"
@@ -228,6 +232,7 @@
 
 // Load: requests of 1.6 s arrive from the start of a grace period of 4 s until 2.75 s.
 func TestShutdownFinishesLongRequestsThatItAccepts(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	parameters := defaultParameters
 	parameters.timeout = "3s"
