gateway, requestlog: the lines of a stop tell its phases and what it gave up

A stop had the lines `stopping` and `stopped unfinished=N` only; an answer that was cut while it was written had a line with its server's status, like one that was delivered. Measured: go test ./requestlog ./gateway -run Shutdown pass; the new case of TestAccountFindsTheCause was not run without its mechanism.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -49,12 +49,16 @@
 	}
 	g.refusing.Store(true)
 	refusingSince := time.Now()
+	g.log.Info("new requests refused", zap.Int64("active", g.active.Load()))
 	unregister()
-	timer := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
-	defer timer.Stop()
+	endWaits := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
+	defer endWaits.Stop()
 	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.giveUp {
 		time.Sleep(drainPollInterval)
 	}
+	if active := g.active.Load(); active > 0 {
+		g.log.Warn("requests given up: the grace period ends", zap.Int64("active", active))
+	}
 	g.giveUp(errStopping)
 	g.closeConnections(server, began.Add(g.schedule.end))
 }
--- a/requestlog/account_test.go
+++ b/requestlog/account_test.go
@@ -61,6 +61,7 @@
 		{"queue", requestLine(2, 503, "the queue is too long", ""), CauseQueue},
 		{"owner", requestLine(2, 503, "no decision from the owner of the service, and this VM knows no free slot", ""), CauseNoOwner},
 		{"shutdown", requestLine(2, 503, "this VM stops", ""), CauseShutdown},
+		{"given up in a shutdown", requestLine(2, 504, "server did not answer before the end of this VM's grace period", attemptText("unused", 900*ms, 0.1)), CauseShutdown},
 		{"rate", requestLine(2, 429, "account is over its rate, decided by edge-3", ""), CauseRate},
 		{"key", requestLine(2, 401, "unknown key", ""), CauseNotAllowed},
 		{"other", requestLine(2, 502, "something new", ""), CauseUnclassified},
--- a/requestlog/cause.go
+++ b/requestlog/cause.go
@@ -54,6 +54,7 @@
 	{"none of the servers tried accepted", CauseShed},
 	{"no server accepted the retry", CauseShed},
 	{"this VM stops", CauseShutdown},
+	{"end of this VM's grace period", CauseShutdown},
 	{"no configuration yet", CauseNoConfiguration},
 	{"over its rate", CauseRate},
 	{"caller left", CauseCallerLeft},
