entry: a stop waits until claims in progress are settled or released

Callers see: a protected request is refused as not run while the VM stops; sent again with the same key it is answered 409 "sent before and its end is not known yet" until the key is too old, because its claim is still recorded. Cause: the release goes on in the background after 200 ms (settleWait), and the release of a claim in doubt always does. The shutdown waited for handlers only and ended the process. The handler no longer waits for the record of a response itself, since the shutdown does. The claim stage releases claims in doubt in place of the claimer, whose error now tells it so.

--- a/entry/backend_test.go
+++ b/entry/backend_test.go
@@ -241,9 +241,10 @@
 	t.Helper()
 	b := &harness{picker: &sequentialPicker{}, claimer: &inMemoryClaimer{records: map[string]*wire.SettleRequest{}}}
 	e := New(Settings{VM: "vm", Zone: "a", Agent: "127.0.0.1:1"}, zap.NewNop())
-	b.stage = newForwardStage(b.picker, b.claimer)
+	settler := newSettler(b.claimer)
+	b.stage = newForwardStage(b.picker, settler)
 	e.authority.extend(time.Now(), time.Hour)
-	e.stages = []Stage{e.stages[0], e.stages[1], claimStage{claimer: b.claimer}, b.stage}
+	e.stages = []Stage{e.stages[0], e.stages[1], claimStage{claimer: b.claimer, settler: settler}, b.stage}
 	e.table.Store(newTable(wire.Snapshot{Document: testDocument(addresses)}, nil))
 	b.entry = e
 	b.Server = httptest.NewUnstartedServer(e)
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/errs"
 	"lacewingmount.dev/once"
 	"lacewingmount.dev/wire"
 )
@@ -36,6 +37,7 @@
 // claimStage claims each protected request, so that it is sent at most once.
 type claimStage struct {
 	claimer Claimer
+	settler *settler
 }
 
 func (claimStage) Name() string { return "claim" }
@@ -60,12 +62,12 @@
 // claim claims the request. While an earlier copy of the request is pending, it polls
 // up to pendingWait for the response to that copy.
 func (s claimStage) claim(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
-	reply, err := s.claimer.Claim(ctx, request)
+	reply, err := s.claimOnce(ctx, request)
 	for until := time.Now().Add(pendingWait); err == nil && reply.State == wire.ClaimPending; {
 		if time.Now().After(until) || !daemon.Sleep(ctx, pendingPollPeriod) {
 			break
 		}
-		next, nextErr := s.claimer.Claim(ctx, request)
+		next, nextErr := s.claimOnce(ctx, request)
 		if nextErr != nil {
 			break // the previous result is still valid
 		}
@@ -74,6 +76,16 @@
 	return reply, err
 }
 
+// claimOnce claims the request. If that fails and the claim may have been recorded, it
+// releases the claim in the background, so that the key can be used again.
+func (s claimStage) claimOnce(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
+	reply, err := s.claimer.Claim(ctx, request)
+	if err != nil && errs.KindOf(err) != errs.Unavailable {
+		s.settler.start(wire.SettleRequest{Claim: request, NotRun: true})
+	}
+	return reply, err
+}
+
 // claimContext returns a context with the deadline of the exchange or claimTimeout,
 // whichever is earlier.
 func claimContext(x *Exchange) (context.Context, context.CancelFunc) {
--- a/entry/claimer.go
+++ b/entry/claimer.go
@@ -26,22 +26,23 @@
 func NewAgentClaimer(agent *wire.Client) *AgentClaimer { return &AgentClaimer{agent: agent} }
 
 // Claim implements Claimer. A call without a reply is repeated; the agent recognizes the
-// repeated claim by the attempt ID in the request. If Claim fails and the claim may have
-// been recorded, the claim is released in the background, so that the key can be used
-// again.
+// repeated claim by the attempt ID in the request.
 func (c *AgentClaimer) Claim(ctx context.Context, request wire.ClaimRequest) (wire.ClaimAnswer, error) {
-	started, inDoubt := time.Now(), false
+	started := time.Now()
+	var inDoubt error // of the last call that may have recorded the claim
 	for {
 		reply, err := c.callClaim(ctx, request)
 		if err == nil {
 			return reply, nil
 		}
 		kind := errs.KindOf(err)
-		inDoubt = inDoubt || kind != errs.Unavailable
+		if kind != errs.Unavailable {
+			inDoubt = err
+		}
 		over := kind == errs.Unavailable && time.Since(started) > claimUnavailableLimit
 		if over || kind == errs.Invalid || !daemon.Sleep(ctx, claimRetryDelay) {
-			if inDoubt {
-				go c.releaseClaim(request)
+			if inDoubt != nil {
+				return wire.ClaimAnswer{}, inDoubt
 			}
 			return wire.ClaimAnswer{}, err
 		}
@@ -56,12 +57,6 @@
 	return reply, err
 }
 
-func (c *AgentClaimer) releaseClaim(request wire.ClaimRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	_ = c.Settle(ctx, wire.SettleRequest{Claim: request, NotRun: true}) // if it fails, duplicates get OutcomeUnknown
-}
-
 // Settle implements Claimer. The call is idempotent and is retried until it succeeds, is
 // rejected as invalid, or ctx ends.
 func (c *AgentClaimer) Settle(ctx context.Context, request wire.SettleRequest) error {
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -15,8 +15,7 @@
 // with its length. Other responses are streamed; if one fails, the caller's connection is
 // closed.
 func (s *forwardStage) deliver(x *Exchange, d *dispatch, last *attempt) {
-	waitSettled := s.settleResponse(x, last)
-	defer waitSettled() // so that a graceful shutdown waits until the response is recorded
+	s.settleResponse(x, last)
 	control := http.NewResponseController(x.Writer)
 	out := &timeoutWriter{writer: x.Writer, control: control, stallTimeout: s.stallTimeouts.callerStallTimeout}
 	defer out.clear()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	table           atomic.Pointer[Table]         // compiled from currentSnapshot
 	servers         *serverPicker
 	stages          []Stage
+	settler         *settler
 	served          *metrics.Counter
 	refused         refusalCounters
 	duration        *metrics.Histogram
@@ -54,9 +55,10 @@
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
 	agent := wire.NewClient(settings.Agent, events.Clock())
 	claimer := NewAgentClaimer(agent)
+	settler := newSettler(claimer)
 	servers := newServerPicker(settings, agent, events, log)
 	e := &Entry{
-		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers,
+		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers, settler: settler,
 		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
 		authority: &authority{}, inFlight: newInFlight(), callerConns: newCallerConns(), reportRequested: make(chan struct{}, 1),
@@ -67,9 +69,9 @@
 		routeStage{},
 		e.newIdentifyStage(),
 		admitStage{admitter: NewTokenCache(agent)},
-		claimStage{claimer: claimer},
-		newQueueStage(claimer),
-		newForwardStage(shedRecorder{servers}, claimer),
+		claimStage{claimer: claimer, settler: settler},
+		newQueueStage(settler),
+		newForwardStage(shedRecorder{servers}, settler),
 	}
 	return e
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -22,17 +22,17 @@
 // forwardStage sends the request to a backend server and returns the response to the caller.
 type forwardStage struct {
 	transport     http.RoundTripper
-	claimer       Claimer
+	settler       *settler
 	picker        Picker
 	stallTimeouts stallTimeouts
 	budgets       perName[*retryBudget] // by service
 	latencies     perName[*latencies]   // by route
 }
 
-func newForwardStage(picker Picker, claimer Claimer) *forwardStage {
+func newForwardStage(picker Picker, settler *settler) *forwardStage {
 	return &forwardStage{
 		transport:     newTransport(),
-		claimer:       claimer,
+		settler:       settler,
 		picker:        picker,
 		stallTimeouts: stallTimeouts{callerStallTimeout: callerStallTimeout, serverStallTimeout: serverStallTimeout},
 		budgets:       perName[*retryBudget]{create: newRetryBudget},
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -17,7 +17,7 @@
 // queueStage limits the requests that this entry has in flight at each service and shares
 // the slots fairly among the client accounts.
 type queueStage struct {
-	claimer Claimer
+	settler *settler
 	mu      sync.Mutex
 	queues  map[string]*serviceQueue // by service
 	waits   *metrics.Histogram
@@ -45,9 +45,9 @@
 	since   time.Time
 }
 
-func newQueueStage(claimer Claimer) *queueStage {
+func newQueueStage(settler *settler) *queueStage {
 	return &queueStage{
-		claimer: claimer, queues: map[string]*serviceQueue{},
+		settler: settler, queues: map[string]*serviceQueue{},
 		waits: metrics.GetOrCreateHistogram("lacewing_queue_wait_seconds"),
 	}
 }
@@ -90,7 +90,7 @@
 // refuse returns the refusal of a request that was not sent, and releases its claim.
 func (s *queueStage) refuse(x *Exchange, wait time.Duration) *Refusal {
 	if x.Claim != nil {
-		settle(s.claimer, wire.SettleRequest{Claim: *x.Claim, NotRun: true})
+		s.settler.settle(wire.SettleRequest{Claim: *x.Claim, NotRun: true})
 	}
 	return refuseNotRun(http.StatusServiceUnavailable, ReasonBusy, "the service has no free slot in time").retryAfter(max(wait, time.Second))
 }
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -39,7 +39,7 @@
 
 func TestProofNotRunQueueRefusalSettlesTheClaim(t *testing.T) {
 	claimer := &recordingClaimer{}
-	stage := newQueueStage(claimer)
+	stage := newQueueStage(newSettler(claimer))
 	if refusal := stage.Serve(queuedExchange(t.Context(), time.Minute)); refusal != nil {
 		t.Fatalf("the first request was refused although a slot is free: %+v", *refusal)
 	}
@@ -55,7 +55,7 @@
 }
 
 func TestQueueSlotPassesToNextRequestAndCancelledCallerGetsNone(t *testing.T) {
-	stage := newQueueStage(&recordingClaimer{})
+	stage := newQueueStage(newSettler(&recordingClaimer{}))
 	first := queuedExchange(t.Context(), time.Minute)
 	if refusal := stage.Serve(first); refusal != nil {
 		t.Fatal(*refusal)
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"lacewingmount.dev/wire"
@@ -21,20 +22,17 @@
 // refusal.
 func (s *forwardStage) settleRefusal(x *Exchange, refusal *Refusal) *Refusal {
 	if x.Claim != nil && refusal.Outcome == OutcomeNotRun {
-		s.settle(wire.SettleRequest{Claim: *x.Claim, NotRun: true})
+		s.settler.settle(wire.SettleRequest{Claim: *x.Claim, NotRun: true})
 	}
 	return refusal
 }
 
 // settleResponse records the response before it is sent to the caller, so that a
-// duplicate gets it even if the caller does not. The returned function waits until the
-// response is recorded or recording has failed.
-func (s *forwardStage) settleResponse(x *Exchange, last *attempt) (wait func()) {
-	if x.Claim == nil {
-		return func() {}
+// duplicate gets it even if the caller does not.
+func (s *forwardStage) settleResponse(x *Exchange, last *attempt) {
+	if x.Claim != nil {
+		s.settler.settle(wire.SettleRequest{Claim: *x.Claim, Kept: storedResponse(last)})
 	}
-	done := s.settle(wire.SettleRequest{Claim: *x.Claim, Kept: storedResponse(last)})
-	return func() { <-done }
 }
 
 // storedResponse returns the response in the form that is stored for duplicates. It
@@ -52,25 +50,36 @@
 	return &wire.KeptAnswer{Status: last.response.StatusCode, Header: header, Body: last.body}
 }
 
-// settle settles a claim. It returns when the settlement is recorded or after settleWait.
-// done is closed when the settlement has succeeded or failed.
-func (s *forwardStage) settle(request wire.SettleRequest) (done <-chan struct{}) {
-	return settle(s.claimer, request)
+// settler settles claims in the background.
+type settler struct {
+	claimer Claimer
+	running sync.WaitGroup // settlements in progress
 }
 
-func settle(claimer Claimer, request wire.SettleRequest) (done <-chan struct{}) {
-	recorded := make(chan struct{})
-	go func() {
-		defer close(recorded)
+func newSettler(claimer Claimer) *settler { return &settler{claimer: claimer} }
+
+// start begins to settle a claim. done is closed when the settlement has succeeded or failed.
+func (s *settler) start(request wire.SettleRequest) (done <-chan struct{}) {
+	ended := make(chan struct{})
+	s.running.Go(func() {
+		defer close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		_ = claimer.Settle(ctx, request) // if it fails, duplicates get OutcomeUnknown
-	}()
+		_ = s.claimer.Settle(ctx, request) // if it fails, duplicates get OutcomeUnknown
+	})
+	return ended
+}
+
+// settle settles a claim. It returns when the settlement is recorded or after settleWait.
+func (s *settler) settle(request wire.SettleRequest) {
 	timer := time.NewTimer(settleWait)
 	defer timer.Stop()
 	select {
-	case <-recorded:
+	case <-s.start(request):
 	case <-timer.C:
 	}
-	return recorded
 }
+
+// wait returns when no settlement is in progress, after settleTimeout at the latest if none
+// is started meanwhile.
+func (s *settler) wait() { s.running.Wait() }
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -53,8 +53,8 @@
 const idlePollPeriod = 20 * time.Millisecond
 
 // shutdown reports not ready, accepts connections for DrainDelay so that the load balancer
-// can react, and then waits for all requests in flight. From the start, responses have
-// the header Connection: close.
+// can react, and then waits for all requests in flight and for the settlement of their
+// claims. From the start, responses have the header Connection: close.
 func (e *Entry) shutdown(server *http.Server, listener net.Listener) error {
 	e.stopping.Store(true)
 	e.updateReady()
@@ -71,6 +71,7 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // the listener was closed above
 	}
+	e.settler.wait() // the agent may stop once the entry has stopped
 	e.events.Add(timeline.Event{Kind: timeline.KindStopped})
 	e.log.Info("stopped")
 	e.report(context.Background(), true)
--- a/entry/shutdown_proof_test.go
+++ b/entry/shutdown_proof_test.go
@@ -31,7 +31,7 @@
 	})
 	e := New(Settings{VM: "vm", Zone: "a", Agent: "127.0.0.1:1", DrainDelay: daemon.Duration(100 * time.Millisecond)}, zap.NewNop())
 	e.authority.extend(time.Now(), time.Hour)
-	e.stages = []Stage{routeStage{}, e.newIdentifyStage(), newForwardStage(&sequentialPicker{}, &inMemoryClaimer{records: map[string]*wire.SettleRequest{}})}
+	e.stages = []Stage{routeStage{}, e.newIdentifyStage(), newForwardStage(&sequentialPicker{}, newSettler(&inMemoryClaimer{records: map[string]*wire.SettleRequest{}}))}
 	e.table.Store(newTable(wire.Snapshot{Document: testDocument(addresses(backend))}, nil))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
