entry: a stop keeps the connection of an answer that began before it

Callers see: a long answer that began before the stop arrives whole and does not announce the end of its connection; the next request on it gets no answer, the connection is just closed. Cause: the shutdown waited for idle connections only and left those in use to net/http, which in its own shutdown closes a connection as soon as its answer ends. As before, a stop has no limit while a request is in flight.

--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -38,12 +38,13 @@
 	}
 }
 
-// quiesced reports whether every idle connection has been idle for minIdleBeforeClose.
+// quiesced reports whether no request is served and every connection has been idle for
+// minIdleBeforeClose.
 func (c *callerConns) quiesced(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, since := range c.idle {
-		if now.Sub(since) < minIdleBeforeClose && !since.IsZero() {
+		if since.IsZero() || now.Sub(since) < minIdleBeforeClose {
 			return false
 		}
 	}
--- /dev/null
+++ b/entry/shutdown_conns_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/keys"
+)
+
+// stoppableEntry is an entry that serves callers on a listener until it is stopped.
+type stoppableEntry struct {
+	*harness
+	server   *http.Server
+	listener net.Listener
+	stopped  chan struct{} // closed when the entry has stopped
+}
+
+const testDrainDelay = 100 * time.Millisecond
+
+func newStoppableEntry(t *testing.T, serve handler) *stoppableEntry {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stoppableEntry{harness: newHarness(t, addresses(newRawServer(t, serve))...), listener: listener, stopped: make(chan struct{})}
+	s.entry.settings.DrainDelay = daemon.Duration(testDrainDelay)
+	s.server = newServer(s.entry)
+	go func() { _ = s.server.Serve(listener) }()
+	return s
+}
+
+// stop shuts the entry down in the background. After that no connection is left, as when
+// the process has ended.
+func (s *stoppableEntry) stop() {
+	go func() {
+		defer close(s.stopped)
+		_ = s.entry.shutdown(s.server, s.listener)
+		_ = s.server.Close()
+	}()
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (s *stoppableEntry) dial(t *testing.T) *callerConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &callerConn{conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *callerConn) send(t *testing.T, path string) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: entry\r\n%s: %s\r\n\r\n", path, keys.Header, testKey); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive reads a response up to the end of its header.
+func (c *callerConn) receive(t *testing.T) *http.Response {
+	t.Helper()
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return answer
+}
+
+// finish reads the rest of a response.
+func (c *callerConn) finish(t *testing.T, answer *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatalf("the answer broke off after %d bytes: %v", len(body), err)
+	}
+	return string(body)
+}
+
+// wantLastAnswer reads a response and checks that it ends the connection.
+func (c *callerConn) wantLastAnswer(t *testing.T) {
+	t.Helper()
+	answer := c.receive(t)
+	if body := c.finish(t, answer); answer.StatusCode != http.StatusOK || body != "ok" || !answer.Close {
+		t.Fatalf("status %d, body %q, close: %t; want 200 ok and Connection: close", answer.StatusCode, body, answer.Close)
+	}
+}
+
+// TestProofShutdownAnswersTheRequestAfterAStreamedAnswer checks that a connection is not
+// closed at the end of an answer that has not announced it.
+func TestProofShutdownAnswersTheRequestAfterAStreamedAnswer(t *testing.T) {
+	release := make(chan struct{})
+	const size = 4 * maxBufferedResponse
+	s := newStoppableEntry(t, func(c *rawConn, nth int) {
+		if c.read() == nil {
+			return
+		}
+		if nth > 1 {
+			c.send(okResponse)
+			return
+		}
+		c.send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+		<-release
+		c.send("%s", strings.Repeat("x", size/2))
+	})
+	caller := s.dial(t)
+	caller.send(t, "/read")
+	answer := caller.receive(t)
+	if answer.Close {
+		t.Fatal("the answer began before the stop, but announces the end of the connection")
+	}
+	s.stop()
+	time.Sleep(testDrainDelay + 2*minIdleBeforeClose)
+	close(release)
+	if got := caller.finish(t, answer); len(got) != size {
+		t.Fatalf("%d of %d bytes", len(got), size)
+	}
+	caller.send(t, "/read")
+	caller.wantLastAnswer(t)
+	<-s.stopped
+}
