entry: answers to requests in flight at a stop close their connections

Callers see: a request that was in flight at the SIGTERM is answered without Connection: close. The connection stays open and is closed once it has been idle for 1 s, when the next request may be on its way. Cause: the header was decided when a request arrived, not when its answer began; for an answer that takes longer than drain_delay no later request on the connection gets it. Evidence: TestProofShutdownAnswersInFlightCloseTheirConnections before the change: status 200, body "ok", close: false; want 200 ok and Connection: close Why it works: answers and refusals look at the state of the entry when their header is written, so every answer that begins after the SIGTERM announces the end of its connection, as the comment of shutdown already said.

--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -21,6 +21,7 @@
 	defer out.clear()
 	header := x.Writer.Header()
 	copyHeader(header, last.response.Header)
+	x.announceClose()
 	if d.body != nil && !d.body.fullyRead() {
 		header.Set("Connection", "close") // the rest of the request body is not read
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,13 +122,10 @@
 // ServeHTTP runs one request through the stages.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.served.Inc()
-	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
+	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID(), stopping: &e.stopping}
 	defer e.duration.UpdateDuration(x.Started)
 	e.inFlight.begin(x)
 	defer e.inFlight.end(x)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer func() { x.permit.release(); x.slot.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", refuseNotRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").retryAfter(time.Second))
@@ -143,6 +140,7 @@
 }
 
 func (e *Entry) refuse(x *Exchange, stage string, refusal *Refusal) {
+	x.announceClose()
 	refusal.write(x.Writer)
 	if refusal.Outcome == OutcomeReplayed {
 		return
--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -132,3 +132,27 @@
 	caller.wantLastAnswer(t)
 	<-s.stopped
 }
+
+// TestProofShutdownAnswersInFlightCloseTheirConnections checks that the caller of a request
+// that was in flight at the start of a stop learns that its connection ends.
+func TestProofShutdownAnswersInFlightCloseTheirConnections(t *testing.T) {
+	release := make(chan struct{})
+	s := newStoppableEntry(t, func(c *rawConn, _ int) {
+		if c.read() != nil {
+			<-release
+			c.send(okResponse)
+		}
+	})
+	caller := s.dial(t)
+	caller.send(t, "/read")
+	for s.entry.inFlight.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.stop()
+	for !s.entry.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	caller.wantLastAnswer(t)
+	<-s.stopped
+}
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"lacewingmount.dev/config"
@@ -32,6 +33,15 @@
 	KeyHash   string             // hash of the caller's key, empty on open routes
 	permit    *permit            // nil on open routes
 	slot      *slot              // concurrency slot of the service, nil before the queue stage
+	stopping  *atomic.Bool       // the entry is shutting down
+}
+
+// announceClose tells the caller with the response header that its connection ends, if the
+// entry is stopping.
+func (x *Exchange) announceClose() {
+	if x.stopping.Load() {
+		x.Writer.Header().Set("Connection", "close")
+	}
 }
 
 // AccountName returns the name of the client account, or "" on open routes.
