entry: a stop closes no connection with an unread request

Callers see: a request sent on an open connection just before the entry closes it ends with a reset connection when the VM is busy, although it had arrived in time. Cause: the shutdown judged connections by what net/http had read of them. A request that is still in the socket leaves its connection idle, and such connections were closed. What arrives between the look and the close is still cut off, as with any HTTP/1.1 server; so is a request whose header is half read.

--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lacewingmount.dev/sockets"
 	"lacewingmount.dev/timeline"
 )
 
@@ -38,13 +39,13 @@
 	}
 }
 
-// quiesced reports whether no request is served and every connection has been idle for
-// minIdleBeforeClose.
+// quiesced reports whether no request is served, none waits in a socket, and every
+// connection has been idle for minIdleBeforeClose.
 func (c *callerConns) quiesced(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, since := range c.idle {
-		if since.IsZero() || now.Sub(since) < minIdleBeforeClose {
+	for conn, since := range c.idle {
+		if since.IsZero() || now.Sub(since) < minIdleBeforeClose || sockets.Peek(conn) == sockets.UnrequestedData {
 			return false
 		}
 	}
--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/keys"
+	"lacewingmount.dev/sockets"
 )
 
 // stoppableEntry is an entry that serves callers on a listener until it is stopped.
@@ -24,12 +26,15 @@
 
 const testDrainDelay = 100 * time.Millisecond
 
-func newStoppableEntry(t *testing.T, serve handler) *stoppableEntry {
+// newStoppableEntry returns an entry whose only backend server is served by serve. Its
+// callers are accepted by the listener that wrap returns.
+func newStoppableEntry(t *testing.T, serve handler, wrap func(*net.TCPListener) net.Listener) *stoppableEntry {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	listener := wrap(tcp.(*net.TCPListener))
 	s := &stoppableEntry{harness: newHarness(t, addresses(newRawServer(t, serve))...), listener: listener, stopped: make(chan struct{})}
 	s.entry.settings.DrainDelay = daemon.Duration(testDrainDelay)
 	s.server = newServer(s.entry)
@@ -37,6 +42,8 @@
 	return s
 }
 
+func plainListener(l *net.TCPListener) net.Listener { return l }
+
 // stop shuts the entry down in the background. After that no connection is left, as when
 // the process has ended.
 func (s *stoppableEntry) stop() {
@@ -115,7 +122,7 @@
 		c.send("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
 		<-release
 		c.send("%s", strings.Repeat("x", size/2))
-	})
+	}, plainListener)
 	caller := s.dial(t)
 	caller.send(t, "/read")
 	answer := caller.receive(t)
@@ -142,7 +149,7 @@
 			<-release
 			c.send(okResponse)
 		}
-	})
+	}, plainListener)
 	caller := s.dial(t)
 	caller.send(t, "/read")
 	for s.entry.inFlight.count() == 0 {
@@ -156,3 +163,62 @@
 	caller.wantLastAnswer(t)
 	<-s.stopped
 }
+
+// busyConn is a connection whose reads return late, as on a busy VM. Without a read deadline
+// in the past, a read waits for data and then for delay.
+type busyConn struct {
+	*net.TCPConn
+	delay    time.Duration
+	deadline atomic.Int64 // Unix nanoseconds, 0 for none
+}
+
+func (c *busyConn) SetReadDeadline(at time.Time) error {
+	nanos := int64(0)
+	if !at.IsZero() {
+		nanos = at.UnixNano()
+	}
+	c.deadline.Store(nanos)
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+func (c *busyConn) Read(p []byte) (int, error) {
+	for sockets.Peek(c.TCPConn) == sockets.NoData {
+		if at := c.deadline.Load(); at != 0 && time.Now().UnixNano() >= at {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(c.delay)
+	return c.TCPConn.Read(p)
+}
+
+// busyListener accepts connections whose reads return late.
+type busyListener struct {
+	*net.TCPListener
+	readDelay time.Duration
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &busyConn{TCPConn: conn, delay: l.readDelay}, nil
+}
+
+// TestProofShutdownAnswersRequestsThatAreNotReadYet checks that a request that waits in the
+// socket of an idle connection is answered, on a VM that is busy for half a second.
+func TestProofShutdownAnswersRequestsThatAreNotReadYet(t *testing.T) {
+	s := newStoppableEntry(t, alwaysRespond(okResponse), func(l *net.TCPListener) net.Listener {
+		return &busyListener{TCPListener: l, readDelay: 500 * time.Millisecond}
+	})
+	caller := s.dial(t)
+	caller.send(t, "/read")
+	caller.finish(t, caller.receive(t))
+	time.Sleep(minIdleBeforeClose)
+	s.stop()
+	time.Sleep(testDrainDelay / 2)
+	caller.send(t, "/read")
+	caller.wantLastAnswer(t)
+	<-s.stopped
+}
