entry: a stop serves the connections that it has not accepted yet

Callers see: a connection that they opened before the listener closed, with a request on it, is reset or closed without an answer when the VM is busy. Cause: closing a listener resets the connections in its queue. A connection that was accepted but not yet known to the server was not waited for either, and ended with the process. Evidence: TestProofShutdownAnswersConnectionsThatAreNotServedYet (accepting held) before: accepted: no answer: unexpected EOF in_the_queue_of_the_listener: no answer: read tcp ...: read: connection reset by peer Why it works: the listener is closed when poll shows no connection in its queue, and the shutdown goes on when the accept loop has ended, so every accepted connection is counted among the callers' connections before these are looked at. A connection that arrives between poll and close is still reset; the balancer sends none after drain_delay.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,8 +92,7 @@
 	if err != nil {
 		return err
 	}
-	server := newServer(e)
-	go func() { _ = server.Serve(listener) }()
+	server := e.serve(listener)
 	go e.followSnapshots(background)
 	go e.reportToAgent(background)
 	go e.watchReadiness(background)
@@ -101,7 +100,7 @@
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	e.log.Info("started", zap.String("listen", e.settings.Listen))
 	<-ctx.Done()
-	return e.shutdown(server, listener)
+	return e.shutdown(server)
 }
 
 const (
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -52,24 +52,51 @@
 	return true
 }
 
-const idlePollPeriod = 20 * time.Millisecond
+// callerServer is the HTTP server for callers.
+type callerServer struct {
+	http     *http.Server
+	listener net.Listener
+	ended    chan struct{} // closed when all accepted connections are in callerConns and no more are accepted
+}
+
+// serve accepts callers in the background.
+func (e *Entry) serve(listener net.Listener) *callerServer {
+	server := &callerServer{http: newServer(e), listener: listener, ended: make(chan struct{})}
+	go func() {
+		defer close(server.ended)
+		_ = server.http.Serve(listener)
+	}()
+	return server
+}
+
+// stopAccepting closes the listener once the connections in its queue are accepted: closing
+// it resets them.
+func (s *callerServer) stopAccepting() {
+	for sockets.HasPendingConn(s.listener) {
+		time.Sleep(stopPollPeriod)
+	}
+	_ = s.listener.Close()
+	<-s.ended
+}
+
+const stopPollPeriod = 20 * time.Millisecond
 
 // shutdown reports not ready, accepts connections for DrainDelay so that the load balancer
 // can react, and then waits for all requests in flight and for the settlement of their
 // claims. From the start, responses have the header Connection: close.
-func (e *Entry) shutdown(server *http.Server, listener net.Listener) error {
+func (e *Entry) shutdown(server *callerServer) error {
 	e.stopping.Store(true)
 	e.updateReady()
 	e.requestReport()
 	e.events.Add(timeline.Event{Kind: timeline.KindStopping})
 	e.log.Info("stopping")
 	time.Sleep(e.settings.DrainDelay.Std())
-	_ = listener.Close()
+	server.stopAccepting()
 	e.events.Add(timeline.Event{Kind: timeline.KindDrainWait})
 	for !e.callerConns.quiesced(time.Now()) {
-		time.Sleep(idlePollPeriod)
+		time.Sleep(stopPollPeriod)
 	}
-	err := server.Shutdown(context.Background())
+	err := server.http.Shutdown(context.Background())
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // the listener was closed above
 	}
--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -19,9 +19,8 @@
 // stoppableEntry is an entry that serves callers on a listener until it is stopped.
 type stoppableEntry struct {
 	*harness
-	server   *http.Server
-	listener net.Listener
-	stopped  chan struct{} // closed when the entry has stopped
+	server  *callerServer
+	stopped chan struct{} // closed when the entry has stopped
 }
 
 const testDrainDelay = 100 * time.Millisecond
@@ -35,10 +34,9 @@
 		t.Fatal(err)
 	}
 	listener := wrap(tcp.(*net.TCPListener))
-	s := &stoppableEntry{harness: newHarness(t, addresses(newRawServer(t, serve))...), listener: listener, stopped: make(chan struct{})}
+	s := &stoppableEntry{harness: newHarness(t, addresses(newRawServer(t, serve))...), stopped: make(chan struct{})}
 	s.entry.settings.DrainDelay = daemon.Duration(testDrainDelay)
-	s.server = newServer(s.entry)
-	go func() { _ = s.server.Serve(listener) }()
+	s.server = s.entry.serve(listener)
 	return s
 }
 
@@ -49,8 +47,8 @@
 func (s *stoppableEntry) stop() {
 	go func() {
 		defer close(s.stopped)
-		_ = s.entry.shutdown(s.server, s.listener)
-		_ = s.server.Close()
+		_ = s.entry.shutdown(s.server)
+		_ = s.server.http.Close()
 	}()
 }
 
@@ -62,7 +60,7 @@
 
 func (s *stoppableEntry) dial(t *testing.T) *callerConn {
 	t.Helper()
-	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	conn, err := net.Dial("tcp", s.server.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,3 +220,52 @@
 	caller.wantLastAnswer(t)
 	<-s.stopped
 }
+
+// TestProofShutdownAnswersConnectionsThatAreNotServedYet checks that requests on new
+// connections are answered on a VM that is busy for half a second.
+func TestProofShutdownAnswersConnectionsThatAreNotServedYet(t *testing.T) {
+	for position, name := range []string{"accepted", "in the queue of the listener"} {
+		t.Run(name, func(t *testing.T) {
+			var busy *lateListener
+			s := newStoppableEntry(t, alwaysRespond(okResponse), func(l *net.TCPListener) net.Listener {
+				busy = &lateListener{TCPListener: l, resume: make(chan struct{}), exited: make(chan struct{})}
+				return busy
+			})
+			callers := []*callerConn{s.dial(t), s.dial(t)}
+			callers[position].send(t, "/read")
+			s.stop()
+			go func() {
+				<-s.stopped
+				close(busy.exited)
+			}()
+			time.Sleep(testDrainDelay + 500*time.Millisecond)
+			close(busy.resume)
+			callers[position].wantLastAnswer(t)
+			_ = callers[1-position].conn.Close()
+			<-s.stopped
+		})
+	}
+}
+
+// lateListener holds the first connection it accepts, and does not accept others, until
+// resume is closed.
+type lateListener struct {
+	*net.TCPListener
+	resume chan struct{}
+	exited chan struct{} // closed when the process would have ended
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	<-l.resume
+	select {
+	case <-l.exited:
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	default:
+		return conn, nil
+	}
+}
--- a/entry/shutdown_proof_test.go
+++ b/entry/shutdown_proof_test.go
@@ -21,7 +21,7 @@
 // stopUnderLoad starts an entry and callers that keep their connections until a response
 // tells them to close. It stops the entry with stop and returns the number of requests
 // sent and the number of those without a complete response.
-func stopUnderLoad(t *testing.T, stop func(e *Entry, server *http.Server, listener net.Listener)) (sent, incomplete int) {
+func stopUnderLoad(t *testing.T, stop func(e *Entry, server *callerServer)) (sent, incomplete int) {
 	t.Helper()
 	backend := newRawServer(t, func(c *rawConn, _ int) {
 		for c.read() != nil {
@@ -37,8 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newServer(e)
-	go func() { _ = server.Serve(listener) }()
+	server := e.serve(listener)
 
 	var mu sync.Mutex
 	var callers sync.WaitGroup
@@ -56,7 +55,7 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	stop(e, server, listener)
+	stop(e, server)
 	callers.Wait()
 	return sent, incomplete
 }
@@ -90,8 +89,8 @@
 }
 
 func TestProofShutdownTearsNoRequestOfConnectedCallers(t *testing.T) {
-	sent, incomplete := stopUnderLoad(t, func(e *Entry, server *http.Server, listener net.Listener) {
-		if err := e.shutdown(server, listener); err != nil {
+	sent, incomplete := stopUnderLoad(t, func(e *Entry, server *callerServer) {
+		if err := e.shutdown(server); err != nil {
 			t.Error(err)
 		}
 	})
@@ -104,7 +103,7 @@
 // TestControlShutdownClosingAtOnceTearsRequests checks that stopUnderLoad detects incomplete
 // responses: the server is closed without waiting for requests in flight.
 func TestControlShutdownClosingAtOnceTearsRequests(t *testing.T) {
-	sent, incomplete := stopUnderLoad(t, func(_ *Entry, server *http.Server, _ net.Listener) { _ = server.Close() })
+	sent, incomplete := stopUnderLoad(t, func(_ *Entry, server *callerServer) { _ = server.http.Close() })
 	t.Logf("%d requests, %d without a complete response", sent, incomplete)
 	if incomplete == 0 {
 		t.Error("no incomplete response was detected")
--- a/entry/shutdown_release_test.go
+++ b/entry/shutdown_release_test.go
@@ -77,8 +77,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			server := newServer(e)
-			go func() { _ = server.Serve(listener) }()
+			server := e.serve(listener)
 
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/protected", strings.NewReader("order"))
 			if err != nil {
@@ -90,7 +89,7 @@
 			if got := roundTrip(request); got.outcome != OutcomeNotRun {
 				t.Fatalf("got %+v, want a refusal as not run", got)
 			}
-			if err := e.shutdown(server, listener); err != nil {
+			if err := e.shutdown(server); err != nil {
 				t.Error(err)
 			}
 			if settled := agent.settlements(); len(settled) != 1 || !settled[0].NotRun {
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -63,6 +63,26 @@
 	return result
 }
 
+// HasPendingConn reports whether the queue of a TCP listener holds a connection that is not
+// accepted yet.
+func HasPendingConn(listener net.Listener) bool {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	_ = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, 0)
+		pending = err == nil && n > 0 && poll[0].Revents&unix.POLLIN != 0
+	})
+	return pending
+}
+
 // IdleState is the state of a connection on which no data is expected.
 type IdleState int
 
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -79,3 +79,30 @@
 		time.Sleep(time.Millisecond) // a state that is never reached ends with the test's timeout
 	}
 }
+
+func TestHasPendingConnSeesTheQueueOfAListener(t *testing.T) {
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if HasPendingConn(listener) {
+		t.Fatal("the queue of a new listener is not empty")
+	}
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	for !HasPendingConn(listener) {
+		time.Sleep(time.Millisecond) // if it never succeeds, go test times out
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if HasPendingConn(listener) {
+		t.Fatal("the queue is not empty after its connection was accepted")
+	}
+}
