entry: callers may pause for as long as callerStallTimeout allows

Callers see: whoever stops reading a long answer for 10 s, as on a phone without a network for a moment, finds its connection reset and the answer cut short, although it may pause for 30 s. Cause: connections of callers had TCP_USER_TIMEOUT (10 s), which the kernel also applies to a peer that acknowledges everything but keeps its receive window closed. Why it works: the option is off on the listener for callers. Writes that make no progress are ended by callerStallTimeout, dead callers that wait for an answer by keepalive as before (11 s). A caller that dies during a long answer is now noticed after 30 s instead of 10 s.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -44,9 +44,15 @@
 	os.Exit(1)
 }
 
-// Listen opens a TCP listener on address. It fails with kind Invalid.
+// Listen opens a TCP listener on address with sockets.DefaultLiveness. It fails with kind
+// Invalid.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := sockets.Listen(ctx, address)
+	return ListenWith(ctx, sockets.DefaultLiveness, address)
+}
+
+// ListenWith is Listen with other options.
+func ListenWith(ctx context.Context, liveness sockets.Liveness, address string) (net.Listener, error) {
+	listener, err := liveness.Listen(ctx, address)
 	if err != nil {
 		return nil, errListen(err, address)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,7 +88,7 @@
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
-	listener, err := daemon.Listen(ctx, e.settings.Listen)
+	listener, err := listenForCallers(ctx, e.settings.Listen)
 	if err != nil {
 		return err
 	}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -25,10 +25,10 @@
 	Idle        time.Duration // time without traffic before the first probe
 	Interval    time.Duration // between probes
 	Probes      int           // unanswered probes that end the connection
-	UserTimeout time.Duration // how long sent data may stay unacknowledged
+	UserTimeout time.Duration // how long sent data may stay unacknowledged, and the peer may read nothing; 0 for no limit
 }
 
-// DefaultLiveness is used by Listen and by the function Dialer.
+// DefaultLiveness is used by the functions Listen and Dialer.
 var DefaultLiveness = Liveness{Idle: keepAliveIdle, Interval: keepAliveInterval, Probes: keepAliveProbes, UserTimeout: UserTimeout}
 
 func (l Liveness) keepAlive() net.KeepAliveConfig {
@@ -47,7 +47,12 @@
 
 // Listen opens a TCP listener whose connections have the options of DefaultLiveness.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: DefaultLiveness.keepAlive(), Control: DefaultLiveness.setUserTimeout}
+	return DefaultLiveness.Listen(ctx, address)
+}
+
+// Listen opens a TCP listener whose connections have the options of l.
+func (l Liveness) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: l.keepAlive(), Control: l.setUserTimeout}
 	return config.Listen(ctx, "tcp", address)
 }
 
