entry: a caller that reads slowly is not taken for a stalled one

Callers see: who reads a long answer steadily but slowly (about 40 KB/s in a trial with the real timeouts) gets the first megabytes, and then the connection is closed. Cause: a write to a caller may take callerStallTimeout (30 s). The kernel grows the send buffer to some megabytes and wakes a blocked writer only when much of it is free again, so the write took longer although the caller read all the time. Why it works: TCP_NOTSENT_LOWAT limits what waits unsent to 128 KiB, so a write goes on after tens of KiB; the send buffer still holds what is on its way, so fast callers are not slowed by the path's delay. Their rate was not measured.

--- a/entry/listen.go
+++ b/entry/listen.go
@@ -8,10 +8,15 @@
 	"lacewingmount.dev/sockets"
 )
 
+// maxUnsentResponse is the part of a response in bytes that may wait in the send buffer. A
+// write to a slow caller goes on when some of it is sent, so that a caller that reads is not
+// taken for a stalled one.
+const maxUnsentResponse = 128 << 10
+
 // listenForCallers opens the listener for callers. TCP_USER_TIMEOUT is off, because it also
 // ends a connection whose caller pauses; callerStallTimeout limits that.
 func listenForCallers(ctx context.Context, address string) (net.Listener, error) {
 	liveness := sockets.DefaultLiveness
-	liveness.UserTimeout = 0
+	liveness.UserTimeout, liveness.MaxUnsent = 0, maxUnsentResponse
 	return daemon.ListenWith(ctx, liveness, address)
 }
--- a/entry/slow_caller_test.go
+++ b/entry/slow_caller_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -53,3 +54,28 @@
 		t.Fatalf("%d of %d bytes", len(got), size)
 	}
 }
+
+// TestProofWholeAnswerToCallerThatReadsSlowly checks that a caller that reads all the time
+// does not count as stalled, however full the buffers are.
+func TestProofWholeAnswerToCallerThatReadsSlowly(t *testing.T) {
+	t.Parallel()
+	const (
+		size      = 12 << 20
+		readBytes = 20 << 10 // every readPause, 2 MB/s
+		readPause = 10 * time.Millisecond
+	)
+	s := serveLongAnswer(t, size)
+	s.shortenStallTimeouts()
+	caller := s.dialSlowly(t)
+	caller.send(t, "/read")
+	answer := caller.receive(t)
+	got, err := int64(0), error(nil)
+	for ; err == nil; time.Sleep(readPause) {
+		var n int64
+		n, err = io.CopyN(io.Discard, answer.Body, readBytes)
+		got += n
+	}
+	if got != size {
+		t.Fatalf("%d of %d bytes, %v", got, size, err)
+	}
+}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -20,12 +20,13 @@
 	UserTimeout = 10 * time.Second
 )
 
-// Liveness holds the TCP options that determine how soon a dead peer is detected.
+// Liveness holds the TCP options that determine how soon a dead or stalled peer is detected.
 type Liveness struct {
 	Idle        time.Duration // time without traffic before the first probe
 	Interval    time.Duration // between probes
 	Probes      int           // unanswered probes that end the connection
 	UserTimeout time.Duration // how long sent data may stay unacknowledged, and the peer may read nothing; 0 for no limit
+	MaxUnsent   int           // bytes that writes leave unsent; 0 for as many as fit into the buffers
 }
 
 // DefaultLiveness is used by the functions Listen and Dialer.
@@ -42,7 +43,7 @@
 // Dialer returns a dialer with this connect timeout whose connections have the
 // options of l.
 func (l Liveness) Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: l.keepAlive(), Control: l.setUserTimeout}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: l.keepAlive(), Control: l.setOptions}
 }
 
 // Listen opens a TCP listener whose connections have the options of DefaultLiveness.
@@ -52,15 +53,19 @@
 
 // Listen opens a TCP listener whose connections have the options of l.
 func (l Liveness) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: l.keepAlive(), Control: l.setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: l.keepAlive(), Control: l.setOptions}
 	return config.Listen(ctx, "tcp", address)
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT. Accepted connections inherit it from the listener.
-func (l Liveness) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets the options that package net does not know. Accepted connections inherit
+// them from the listener.
+func (l Liveness) setOptions(_, _ string, raw syscall.RawConn) error {
 	var result error
 	err := raw.Control(func(fd uintptr) {
 		result = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.UserTimeout.Milliseconds()))
+		if result == nil && l.MaxUnsent > 0 {
+			result = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, l.MaxUnsent)
+		}
 	})
 	if err != nil {
 		return err
