once: a bucket whose last write failed is not flushed

Callers see: a protected request is answered in a short outage of the store, its VM stops, and a duplicate gets 409 "its end is not known yet" in place of the answer, until the key expires. Cause: Flushed looked at records that are in no write yet. Between a failed write and its repetition there are none, so a stopping agent ended at once and did not use its 2 s. Evidence: TestShutdownWritesSettlementsAfterAnOutageOfTheStore before the change: a duplicate got state "pending", <nil>, want the kept answer Why it works: Flushed also counts the records of the write that is to be read back or repeated, as Unwritten does for operators.

--- a/agent/claims_test.go
+++ b/agent/claims_test.go
@@ -242,3 +242,39 @@
 		}
 	}
 }
+
+// successor returns the claims part of a VM that starts after the cluster has ended.
+func (b *claimsCluster) successor() *claims {
+	clock := timeline.NewClock(time.Now)
+	peers := newPeers(membership.Member{Name: "vm-9"}, nil, clock, time.Now)
+	return newClaims("vm-9", b.stores[0].Store, peers, timeline.NewRing(clock, "vm-9", "agent"), zap.NewNop())
+}
+
+// wantKeptAnswer checks that duplicates of the request get the kept answer.
+func wantKeptAnswer(t *testing.T, c *claims, key string) {
+	t.Helper()
+	answer, err := c.claim(t.Context(), claimOf(key, "duplicate"))
+	if err != nil || answer.State != wire.ClaimAnswered || answer.Kept == nil || string(answer.Kept.Body) != "answer" {
+		t.Fatalf("a duplicate got state %q, %v, want the kept answer", answer.State, err)
+	}
+}
+
+func settlementOf(key, attempt string) wire.SettleRequest {
+	return wire.SettleRequest{Claim: claimOf(key, attempt), Kept: &wire.KeptAnswer{Status: 201, Body: []byte("answer")}}
+}
+
+// A stopping agent repeats a write that failed just before, so that duplicates get the
+// answer of a request that ended in a short outage of the store.
+func TestShutdownWritesSettlementsAfterAnOutageOfTheStore(t *testing.T) {
+	b := newClaimsCluster(t, 1)
+	key := newKeys(1)[0]
+	b.claimUntilAnswered(t, 0, key, "attempt")
+	b.stores[0].isolated.Store(true)
+	if _, err := b.claims[0].settle(t.Context(), settlementOf(key, "attempt")); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(claimsShutdownTimeout/4, func() { b.stores[0].isolated.Store(false) })
+	b.claims[0].shutdown()
+	b.stores[0].isolated.Store(true) // the process has ended
+	wantKeptAnswer(t, b.successor(), key)
+}
--- a/once/bucket.go
+++ b/once/bucket.go
@@ -123,8 +123,9 @@
 	}
 }
 
-// Flushed reports whether there is nothing left to write.
-func (b *Bucket) Flushed() bool { return b.op == nil && (b.role != Owning || len(b.claims.dirty) == 0) }
+// Flushed reports whether there is nothing left to write, also no write that failed and is to
+// be repeated.
+func (b *Bucket) Flushed() bool { return b.op == nil && (b.role != Owning || b.Unwritten() == 0) }
 
 // Claim requests a grant. The reply with this ticket comes from Replies, now or later.
 func (b *Bucket) Claim(now time.Time, ticket uint64, claim Claim) {
