once, agent: a bucket that is flushed for a stop accepts no more settlements

Callers see: a protected request is answered while the agent that owns its claim stops; a duplicate gets 409 "its end is not known yet" in place of the answer, or a request that was refused as not run cannot be sent again with its key. Cause: a leaving owner acknowledged settlements also after it had written all others, while it returned its shares and told its peers. What was not in the store when the process ended was lost, and the agent that had passed it on did not ask another one. Evidence: TestSettlementsAfterShutdownGoToTheNextOwner, in which the store hears nothing of the owner after its flush, before the change: a duplicate got state "pending", <nil>, want the kept answer Why it works: a leaving bucket is given up once it is flushed, so a later settlement is refused at once and goes to the next agent, which takes over the bucket and writes it.

--- a/agent/bucket.go
+++ b/agent/bucket.go
@@ -79,6 +79,13 @@
 	return recorded
 }
 
+// hasLeft reports whether this agent is stopping and will not own the bucket again.
+func (b *claimBucket) hasLeft() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Left()
+}
+
 // recentOwner returns the VM that took over the bucket within the takeoverHoldoff.
 func (b *claimBucket) recentOwner() (vm string, ok bool) {
 	b.mu.Lock()
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -283,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	for !bucket.settle(settlement) {
-		if ctx.Err() != nil {
+		if bucket.hasLeft() || ctx.Err() != nil {
 			return errs.New(errs.Conflict, "the bucket of the claim has no owner here", "try again")
 		}
 		daemon.Sleep(ctx, settlePollInterval)
--- a/agent/claims_test.go
+++ b/agent/claims_test.go
@@ -278,3 +278,23 @@
 	b.stores[0].isolated.Store(true) // the process has ended
 	wantKeptAnswer(t, b.successor(), key)
 }
+
+// An agent that has written its settlements and is about to end accepts no more of them, so
+// that they are recorded by the agent that takes over the bucket.
+func TestSettlementsAfterShutdownGoToTheNextOwner(t *testing.T) {
+	b := newClaimsCluster(t, 2)
+	keys := newKeys(2 * once.BucketCount) // both agents own some of their buckets
+	for _, key := range keys {
+		b.claimUntilAnswered(t, 1, key, "attempt")
+	}
+	b.claims[0].shutdown()
+	b.stores[0].isolated.Store(true) // writes that the end of the process would cut off
+	for _, key := range keys {
+		if _, err := b.claims[1].settle(t.Context(), settlementOf(key, "attempt")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, key := range keys {
+		wantKeptAnswer(t, b.claims[1], key)
+	}
+}
--- a/once/bucket.go
+++ b/once/bucket.go
@@ -115,7 +115,8 @@
 	b.failing = false
 }
 
-// Leave stops accepting claims for good. Flushed reports when the settlements are written.
+// Leave stops accepting claims for good. Flushed reports when the settlements are written;
+// from then on, Settle accepts no more of them.
 func (b *Bucket) Leave() {
 	b.leaving = true
 	if b.role == Acquiring {
@@ -123,6 +124,9 @@
 	}
 }
 
+// Left reports whether the bucket was given up for good.
+func (b *Bucket) Left() bool { return b.leaving && b.role == Idle }
+
 // Flushed reports whether there is nothing left to write, also no write that failed and is to
 // be repeated.
 func (b *Bucket) Flushed() bool { return b.op == nil && (b.role != Owning || b.Unwritten() == 0) }
@@ -195,6 +199,9 @@
 // Next returns the store call to perform now, if any; its result must be passed to Done.
 // Otherwise wake is when to call Next again; zero means after the next event.
 func (b *Bucket) Next(now time.Time) (op *Op, wake time.Time) {
+	if b.leaving && b.role == Owning && b.Flushed() {
+		b.stepDown("")
+	}
 	if b.op != nil || b.role == Idle {
 		return nil, time.Time{}
 	}
