entry: a stop waits for a request whose header is arriving

Callers see: a request that they were sending when the entry closed its idle connections ends without an answer, although the rest of its header came within a fraction of a second. Cause: net/http calls a connection idle until it has read the whole header of the next request. What it had read was neither in the socket nor a request in flight, so the connection was closed; in the moment after the last byte the request could even be passed on and not answered.

--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -52,23 +52,23 @@
 	}()
 }
 
-// callerConn is one connection of a caller.
-type callerConn struct {
+// testCaller is one connection of a caller.
+type testCaller struct {
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
-func (s *stoppableEntry) dial(t *testing.T) *callerConn {
+func (s *stoppableEntry) dial(t *testing.T) *testCaller {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.server.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return &callerConn{conn: conn, reader: bufio.NewReader(conn)}
+	return &testCaller{conn: conn, reader: bufio.NewReader(conn)}
 }
 
-func (c *callerConn) send(t *testing.T, path string) {
+func (c *testCaller) send(t *testing.T, path string) {
 	t.Helper()
 	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: entry\r\n%s: %s\r\n\r\n", path, keys.Header, testKey); err != nil {
 		t.Fatal(err)
@@ -76,7 +76,7 @@
 }
 
 // receive reads a response up to the end of its header.
-func (c *callerConn) receive(t *testing.T) *http.Response {
+func (c *testCaller) receive(t *testing.T) *http.Response {
 	t.Helper()
 	answer, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
@@ -86,7 +86,7 @@
 }
 
 // finish reads the rest of a response.
-func (c *callerConn) finish(t *testing.T, answer *http.Response) string {
+func (c *testCaller) finish(t *testing.T, answer *http.Response) string {
 	t.Helper()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
@@ -96,7 +96,7 @@
 }
 
 // wantLastAnswer reads a response and checks that it ends the connection.
-func (c *callerConn) wantLastAnswer(t *testing.T) {
+func (c *testCaller) wantLastAnswer(t *testing.T) {
 	t.Helper()
 	answer := c.receive(t)
 	if body := c.finish(t, answer); answer.StatusCode != http.StatusOK || body != "ok" || !answer.Close {
@@ -231,7 +231,7 @@
 				busy = &lateListener{TCPListener: l, resume: make(chan struct{}), exited: make(chan struct{})}
 				return busy
 			})
-			callers := []*callerConn{s.dial(t), s.dial(t)}
+			callers := []*testCaller{s.dial(t), s.dial(t)}
 			callers[position].send(t, "/read")
 			s.stop()
 			go func() {
@@ -269,3 +269,24 @@
 		return conn, nil
 	}
 }
+
+// TestProofShutdownAnswersRequestsThatArriveInPieces checks that a connection is not closed
+// while the header of a request arrives on it.
+func TestProofShutdownAnswersRequestsThatArriveInPieces(t *testing.T) {
+	s := newStoppableEntry(t, alwaysRespond(okResponse), plainListener)
+	caller := s.dial(t)
+	caller.send(t, "/read")
+	caller.finish(t, caller.receive(t))
+	time.Sleep(minIdleBeforeClose)
+	s.stop()
+	time.Sleep(testDrainDelay / 2)
+	if _, err := io.WriteString(caller.conn, "GET /read HTTP/1.1\r\nHost: entry\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(testDrainDelay + minIdleBeforeClose/4)
+	if _, err := fmt.Fprintf(caller.conn, "%s: %s\r\n\r\n", keys.Header, testKey); err != nil {
+		t.Fatal(err)
+	}
+	caller.wantLastAnswer(t)
+	<-s.stopped
+}
--- a/entry/slow_caller_test.go
+++ b/entry/slow_caller_test.go
@@ -31,7 +31,7 @@
 }
 
 // dialSlowly is dial with a small receive window.
-func (s *stoppableEntry) dialSlowly(t *testing.T) *callerConn {
+func (s *stoppableEntry) dialSlowly(t *testing.T) *testCaller {
 	t.Helper()
 	caller := s.dial(t)
 	if err := caller.conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
