--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	table           atomic.Pointer[Table]         // compiled from currentSnapshot
 	servers         *serverPicker
 	stages          []Stage
+	settler         *settler
 	served          *metrics.Counter
 	refused         refusalCounters
 	duration        *metrics.Histogram
@@ -54,9 +55,10 @@
 	events := timeline.NewRing(timeline.NewClock(time.Now), settings.VM, "lacewing-entry")
 	agent := wire.NewClient(settings.Agent, events.Clock())
 	claimer := NewAgentClaimer(agent)
+	settler := newSettler(claimer)
 	servers := newServerPicker(settings, agent, events, log)
 	e := &Entry{
-		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers,
+		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers, settler: settler,
 		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
 		authority: &authority{}, inFlight: newInFlight(), callerConns: newCallerConns(), reportRequested: make(chan struct{}, 1),
@@ -67,9 +69,9 @@
 		routeStage{},
 		e.newIdentifyStage(),
 		admitStage{admitter: NewTokenCache(agent)},
-		claimStage{claimer: claimer},
-		newQueueStage(claimer),
-		newForwardStage(shedRecorder{servers}, claimer),
+		claimStage{claimer: claimer, settler: settler},
+		newQueueStage(settler),
+		newForwardStage(shedRecorder{servers}, settler),
 	}
 	return e
 }
@@ -86,12 +88,11 @@
 	if err := e.admin.Start(background, e.settings.Admin); err != nil {
 		return err
 	}
-	listener, err := daemon.Listen(ctx, e.settings.Listen)
+	listener, err := listenForCallers(ctx, e.settings.Listen)
 	if err != nil {
 		return err
 	}
-	server := newServer(e)
-	go func() { _ = server.Serve(listener) }()
+	server := e.serve(listener)
 	go e.followSnapshots(background)
 	go e.reportToAgent(background)
 	go e.watchReadiness(background)
@@ -99,7 +100,7 @@
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
 	e.log.Info("started", zap.String("listen", e.settings.Listen))
 	<-ctx.Done()
-	return e.shutdown(server, listener)
+	return e.shutdown(server)
 }
 
 const (
@@ -120,13 +121,10 @@
 // ServeHTTP runs one request through the stages.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.served.Inc()
-	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID()}
+	x := &Exchange{Writer: w, Request: r, Table: e.table.Load(), Started: time.Now(), RequestID: newRequestID(), stopping: &e.stopping}
 	defer e.duration.UpdateDuration(x.Started)
 	e.inFlight.begin(x)
 	defer e.inFlight.end(x)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer func() { x.permit.release(); x.slot.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", refuseNotRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").retryAfter(time.Second))
@@ -141,6 +139,7 @@
 }
 
 func (e *Entry) refuse(x *Exchange, stage string, refusal *Refusal) {
+	x.announceClose()
 	refusal.write(x.Writer)
 	if refusal.Outcome == OutcomeReplayed {
 		return
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -4,73 +4,33 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
-	"sync"
 	"time"
 
 	"lacewingmount.dev/timeline"
 )
 
-// minIdleBeforeClose is how long a caller's connection must have been idle before a
-// stopping entry closes it. The next request may already be in transit on a connection
-// that was used more recently.
-const minIdleBeforeClose = time.Second
-
-// callerConns holds the open connections of callers.
-type callerConns struct {
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // start of the idle time; zero while a request is served
-}
-
-func newCallerConns() *callerConns { return &callerConns{idle: map[net.Conn]time.Time{}} }
-
-// trackState is the ConnState callback of the HTTP server.
-func (c *callerConns) trackState(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew, http.StateIdle:
-		c.idle[conn] = time.Now()
-	case http.StateActive:
-		c.idle[conn] = time.Time{}
-	default:
-		delete(c.idle, conn)
-	}
-}
-
-// quiesced reports whether every idle connection has been idle for minIdleBeforeClose.
-func (c *callerConns) quiesced(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, since := range c.idle {
-		if now.Sub(since) < minIdleBeforeClose && !since.IsZero() {
-			return false
-		}
-	}
-	return true
-}
-
-const idlePollPeriod = 20 * time.Millisecond
+const stopPollPeriod = 20 * time.Millisecond // between checks whether a stop can go on
 
 // shutdown reports not ready, accepts connections for DrainDelay so that the load balancer
-// can react, and then waits for all requests in flight. From the start, responses have
-// the header Connection: close.
-func (e *Entry) shutdown(server *http.Server, listener net.Listener) error {
+// can react, and then waits for all requests in flight and for the settlement of their
+// claims. From the start, responses have the header Connection: close.
+func (e *Entry) shutdown(server *callerServer) error {
 	e.stopping.Store(true)
 	e.updateReady()
 	e.requestReport()
 	e.events.Add(timeline.Event{Kind: timeline.KindStopping})
 	e.log.Info("stopping")
 	time.Sleep(e.settings.DrainDelay.Std())
-	_ = listener.Close()
+	server.stopAccepting()
 	e.events.Add(timeline.Event{Kind: timeline.KindDrainWait})
 	for !e.callerConns.quiesced(time.Now()) {
-		time.Sleep(idlePollPeriod)
+		time.Sleep(stopPollPeriod)
 	}
-	err := server.Shutdown(context.Background())
+	err := server.http.Shutdown(context.Background())
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // the listener was closed above
 	}
+	e.settler.wait() // the agent may stop once the entry has stopped
 	e.events.Add(timeline.Event{Kind: timeline.KindStopped})
 	e.log.Info("stopped")
 	e.report(context.Background(), true)
