gateway: any name of a service is a valid metrics label

Callers of a service whose name contains a quote or ends with a backslash saw a closed connection instead of each answer, although the server had run the request. Cause: countRequest put the name into the label unquoted. Package metrics panics on such a name, after the answer was written to net/http's buffer and before it was sent; net/http then closes the connection and drops the buffer. Names without such characters give the same labels as before.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -461,9 +461,9 @@
 }
 
 func countRequest(service string, status int, took time.Duration) {
-	labels := `{service="` + service + `",status="` + strconv.Itoa(status) + `"}`
-	metrics.GetOrCreateCounter("lacewing_gateway_requests_total" + labels).Inc()
-	metrics.GetOrCreateHistogram(`lacewing_gateway_request_seconds{service="` + service + `"}`).Update(took.Seconds())
+	label := "service=" + strconv.Quote(service) // package metrics panics on a label that is not quoted
+	metrics.GetOrCreateCounter("lacewing_gateway_requests_total{" + label + `,status="` + strconv.Itoa(status) + `"}`).Inc()
+	metrics.GetOrCreateHistogram("lacewing_gateway_request_seconds{" + label + "}").Update(took.Seconds())
 }
 
 var localPlacements = metrics.GetOrCreateCounter("lacewing_gateway_placed_alone_total")
