gateway: a panic while a request is processed is answered

Callers whose request hit a panic saw a closed connection: no answer, or none of the answer that was already written. The request's line was missing from the log, no counter moved, and the request stayed in this VM's reports, so that its slot was taken until the VM restarted. Cause: net/http recovers a handler's panic by closing the connection and writes to its own log. Evidence, before the fix (the panic in each is put there by the test): panic_test.go:48: status 0, error Post "http://127.0.0.1:18912/r/": EOF; want 500 panic_test.go:75: status 0, error Post "http://127.0.0.1:24921/r/": EOF; want 502 panic_test.go:79: still in flight: map[svc:[{ i-0 10.525491ms}]] panic_test.go:91: status 0, body "", error Post "http://127.0.0.1:18566/r/": EOF ServeHTTP now recovers: nothing written yet is answered with 502 if a server may have run the request and with 500 otherwise, never with a status that promises that it has not run; an answer that was written is sent; one that was begun is still cut off. An attempt releases its slot by a deferred call.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,7 @@
 	outbound *outbound
 	attempts []attempt
 	refused  *placementResult // the decision not to place the request; nil if there was none
+	progress answerProgress
 }
 
 // attempt is the result of sending a request to one server.
@@ -67,6 +68,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	q := &request{g: g, w: w, r: r, caller: platform.ReadCallerHeaders(r.Header), arrived: time.Now()}
+	defer q.recoverPanic()
 	g.lastArrival.Store(q.arrived.UnixNano())
 	stages := []func() *refusal{q.findRoute, q.identify, q.readBody, q.admit, q.forward}
 	for _, stage := range stages {
@@ -232,7 +234,7 @@
 
 // tryServer sends the request to the server that was granted, and reports the outcome
 // to the owner of the service.
-func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) *exchange {
+func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) (x *exchange) {
 	seq := decision.ID.Seq
 	q.g.running.add(q.service, seq, server.ID)
 	if !decision.Local {
@@ -243,13 +245,16 @@
 	forwarded.Apply(header)
 	sent := *q.outbound
 	sent.header = header
-	x := q.g.backend.attempt(ctx, server, &sent, q.deadline)
-	q.g.running.remove(q.service, seq)
-	q.g.complete(q.service, seq, server.ID, x.outcome, x.took, decision.Owner)
-	q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
-		Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
-		Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused,
-	}})
+	x = &exchange{outcome: placement.Broken} // if the attempt panics
+	defer func() {
+		q.g.running.remove(q.service, seq)
+		q.g.complete(q.service, seq, server.ID, x.outcome, x.took, decision.Owner)
+		q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
+			Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
+			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused,
+		}})
+	}()
+	x = q.g.backend.attempt(ctx, server, &sent, q.deadline)
 	return x
 }
 
@@ -353,10 +358,12 @@
 	}
 	q.closeIfStopping()
 	q.w.WriteHeader(x.status)
+	q.progress = answerBegun
 	_, err := q.w.Write(x.body)
 	if err == nil && x.rest != nil {
 		err = q.stream(x)
 	}
+	q.progress = answerComplete
 	q.log(x.status, "", err)
 	return nil
 }
@@ -398,6 +405,7 @@
 	header.Set("Content-Length", "0")
 	q.closeIfStopping()
 	q.w.WriteHeader(f.status)
+	q.progress = answerComplete
 	q.log(f.status, f.reason, nil)
 }
 
