daemon: the end of the log's reader does not end the gateway

When whatever reads the gateway's standard output ended or was restarted, the next log line ended the process, and with it every request in progress: callers saw closed connections. Cause: Go ends a process that writes to a broken pipe on descriptor 1 or 2, by SIGPIPE. Evidence, before the fix: output_test.go:58: signal: broken pipe With SIGPIPE ignored, the write fails and the line is counted as dropped. Broken pipes on sockets were and are errors of the write. Other programs log to standard error and are not changed.

--- a/daemon/output.go
+++ b/daemon/output.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -13,8 +15,9 @@
 
 // NewOutputLogger returns a logger that writes one line of key=value pairs per
 // event to standard output. It never blocks: when the queue for a slow reader is
-// full, lines are dropped and counted.
+// full or the reader has ended, lines are dropped and counted.
 func NewOutputLogger(program, vm string) *zap.Logger {
+	signal.Ignore(syscall.SIGPIPE) // a write to a closed standard output would end the process
 	return newLogger(program, vm, newQueuedWriter(os.Stdout, outputQueueLines))
 }
 
--- a/daemon/output_test.go
+++ b/daemon/output_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"os"
+	"os/exec"
 	"testing"
 	"time"
 )
@@ -31,3 +33,28 @@
 		t.Errorf("%d of 100 lines were dropped, want at least 90 with a queue of 8", n)
 	}
 }
+
+// Guards against a program that ends, with all its requests, because the reader of its log has ended.
+func TestClosedOutputDoesNotEndTheProcess(t *testing.T) {
+	const variable = "LACEWING_TEST_CLOSED_OUTPUT"
+	if os.Getenv(variable) != "" {
+		log := NewOutputLogger("test", "vm-1")
+		for range 3 {
+			log.Info("line")
+			_ = log.Sync()
+		}
+		return
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = reader.Close()
+	defer func() { _ = writer.Close() }()
+	program := exec.Command(os.Args[0], "-test.run=^TestClosedOutputDoesNotEndTheProcess$", "-test.v=false")
+	program.Env = append(os.Environ(), variable+"=1")
+	program.Stdout = writer
+	if err := program.Run(); err != nil {
+		t.Error(err)
+	}
+}
