gateway: a message cannot end the process by the length that it declares

A message of some 15 bytes from another VM could end the process, and with it each request in progress: callers saw closed connections. It takes a declared list of a few million entries, as damaged bytes or another version may hold; no entry has to follow. Cause: msgpack 5.4.1 allocates lists of structs in full at their declared length. Its limit is switched off by a comparison (flags&disableAllocLimitFlag != 1 in decodeSliceValue). Running out of memory is fatal in Go: the recover of mesh.process does not see it. The two lists of structs in messages now decode themselves and refuse more than 65,536 entries before they allocate. No message of this kind has been seen in a log.

--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"lacewingmount.dev/catalog"
 	"lacewingmount.dev/membership"
 )
@@ -89,3 +92,37 @@
 		t.Errorf("received kind %d, %v; %d failures counted, want one", head.Kind, err, meshFailures.Get()-failures)
 	}
 }
+
+// Load: messages of a few bytes that declare lists of four million entries.
+func TestDeclaredLengthsTakeNoMemory(t *testing.T) {
+	const (
+		array32 = "\xdd\x00\x3d\x09\x00" // length 4,000,000
+		map32   = "\xdf\x00\x3d\x09\x00"
+	)
+	g := fuzzGateway(t)
+	for _, c := range []struct {
+		name string
+		kind kind
+		body string
+	}{
+		{"changes", kindUpdate, "\x96\x00\x00\x00" + array32},
+		{"services in flight", kindSync, "\x91" + map32},
+		{"requests in flight", kindSync, "\x91\x81\xa3svc" + array32},
+		{"servers tried", kindPlacementRequest, "\x9b\xa3svc\x01\xc2\x00\x00\x00\x00" + array32},
+	} {
+		head, err := encodeBody(&envelope{Kind: c.kind, From: "vm-2"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		failures := meshFailures.Get()
+		g.mesh.process(append(head, c.body...), func(from string, k kind, body *msgpack.Decoder) error {
+			return g.handleMessage(t.Context(), from, k, body)
+		})
+		runtime.ReadMemStats(&after)
+		if used := after.TotalAlloc - before.TotalAlloc; used > 20<<20 || meshFailures.Get() == failures {
+			t.Errorf("%s: %d MB were allocated, %d messages dropped", c.name, used>>20, meshFailures.Get()-failures)
+		}
+	}
+}
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
 	"lacewingmount.dev/catalog"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/placement"
@@ -38,7 +41,7 @@
 		Age      time.Duration // time since the sender's catalog was last known to match the store
 		Revision uint64        // up to which the sender has applied all changes
 		Digest   uint64        // of the sender's catalog
-		Changes  []catalog.Change
+		Changes  changeList
 		Whole    bool   // whether Changes are the complete contents
 		Origin   string // VM that read the store, if receivers must relay the message; else ""
 	}
@@ -92,8 +95,67 @@
 	}
 
 	syncReport struct {
-		Running map[string][]placement.Running // by service
+		Running runningRequests
 	}
 
 	syncAck struct{}
 )
+
+// maxListLength limits the entries of a list in a message. A catalog of 12,000 servers has
+// fewer.
+const maxListLength = 1 << 16
+
+// changeList is a list of changes whose declared length is checked. Package msgpack
+// allocates lists of structs of any declared length.
+type changeList []catalog.Change
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *changeList) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeList(decoder, (*[]catalog.Change)(l))
+}
+
+// runningRequests holds requests in flight by service, with the same checks.
+type runningRequests map[string][]placement.Running
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *runningRequests) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	services, err := checkLength(decoder.DecodeMapLen())
+	if err != nil {
+		return err
+	}
+	*r = runningRequests{}
+	for range services {
+		service, err := decoder.DecodeString()
+		if err != nil {
+			return err
+		}
+		var running []placement.Running
+		if err := decodeList(decoder, &running); err != nil {
+			return err
+		}
+		(*r)[service] = running
+	}
+	return nil
+}
+
+func decodeList[T any](decoder *msgpack.Decoder, list *[]T) error {
+	length, err := checkLength(decoder.DecodeArrayLen())
+	if err != nil {
+		return err
+	}
+	*list = make([]T, length)
+	for i := range *list {
+		if err := decoder.Decode(&(*list)[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkLength returns the declared length of a list, 0 if there is no list.
+func checkLength(declared int, err error) (int, error) {
+	if err == nil && declared > maxListLength {
+		err = errors.Newf("a list of %d entries is declared, the limit is %d", declared, maxListLength)
+	}
+	return max(0, declared), err
+}
