gateway: garbage does not grow the process beyond the memory of its VM

A process that exceeds its memory limit is killed, and callers see each of its requests end with a closed connection. Cause: Go's heap grows to twice what is in use before it is collected; nothing told it the limit. The program now gives three quarters of the limit in its settings to debug.SetMemoryLimit. Below that nothing changes.

--- a/cmd/lacewing-gateway/main.go
+++ b/cmd/lacewing-gateway/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -44,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings.MemoryMB)
 	log := daemon.NewOutputLogger("lacewing-gateway", settings.VM)
 	defer func() { _ = log.Sync() }()
 	g, err := gateway.New(settings, log)
@@ -60,6 +62,18 @@
 	return g.Run(ctx)
 }
 
+// heapShare is the share of a process's memory limit that Go may use. The program itself
+// and data in sockets take the rest.
+const heapShare = 0.75
+
+// limitMemory makes Go collect garbage before the process exceeds its memory limit, in
+// MB, for which the platform would kill it. 0 sets no limit.
+func limitMemory(limit float64) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(limit * heapShare * (1 << 20)))
+	}
+}
+
 // settingsPollInterval is the time between two checks of the settings file, for
 // changes that were made without sending SIGHUP.
 const settingsPollInterval = 5 * time.Second
