daemon: waiting for the log at the end does not panic while others log

At the end of a stop the gateway waits until its log is written, while goroutines of requests and of the follower may still log. The process could then end by a panic, with its last lines lost. Callers' connections are closed before that, so this does not lose answers. Cause: a WaitGroup counted the queued lines; adding to one at 0 while another goroutine waits for it is a misuse that package sync answers with a panic. Evidence, before the fix, with four goroutines that log: --- FAIL: TestSyncWhileOthersLog (0.33s) panic: sync: WaitGroup is reused before previous Wait has returned [recovered, repanicked] Sync now puts a mark into the queue and waits until the writer has reached it. TestSyncWaitsForQueuedLines, which passed before as well, shows that it still waits.

--- a/daemon/output.go
+++ b/daemon/output.go
@@ -4,7 +4,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,19 +22,27 @@
 
 // queuedWriter queues lines for a goroutine that writes them.
 type queuedWriter struct {
-	lines   chan []byte
-	pending sync.WaitGroup
+	queue chan queuedLine
+}
+
+// queuedLine is a line to write or, if written is not nil, the end of a Sync.
+type queuedLine struct {
+	text    []byte
+	written chan struct{} // closed when all lines before it have been written
 }
 
 // newQueuedWriter returns a writer to out with a queue of length lines.
 func newQueuedWriter(out io.Writer, length int) *queuedWriter {
-	w := &queuedWriter{lines: make(chan []byte, length)}
+	w := &queuedWriter{queue: make(chan queuedLine, length)}
 	go func() {
-		for line := range w.lines {
-			if _, err := out.Write(line); err != nil {
+		for line := range w.queue {
+			if line.written != nil {
+				close(line.written)
+				continue
+			}
+			if _, err := out.Write(line.text); err != nil {
 				droppedLines.Inc()
 			}
-			w.pending.Done()
 		}
 	}()
 	return w
@@ -43,19 +50,19 @@
 
 // Write implements io.Writer. It drops the line if the queue is full.
 func (w *queuedWriter) Write(line []byte) (int, error) {
-	w.pending.Add(1)
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.queue <- queuedLine{text: append([]byte(nil), line...)}:
 	default:
-		w.pending.Done()
 		droppedLines.Inc()
 	}
 	return len(line), nil
 }
 
-// Sync waits until all queued lines are written.
+// Sync waits until the lines queued before it are written.
 func (w *queuedWriter) Sync() error {
-	w.pending.Wait()
+	written := make(chan struct{})
+	w.queue <- queuedLine{written: written}
+	<-written
 	return nil
 }
 
--- a/daemon/output_test.go
+++ b/daemon/output_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"sync"
 	"testing"
 	"time"
 )
@@ -58,3 +59,44 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a panic at the end of a program whose goroutines still log.
+func TestSyncWhileOthersLog(t *testing.T) {
+	out := newQueuedWriter(io.Discard, 64)
+	end := time.Now().Add(500 * time.Millisecond)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for time.Now().Before(end) {
+				_, _ = out.Write([]byte("line\n"))
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		_ = out.Sync()
+	}
+	writers.Wait()
+}
+
+func TestSyncWaitsForQueuedLines(t *testing.T) {
+	reader, writer := io.Pipe()
+	out := newQueuedWriter(writer, 8)
+	for range 3 {
+		_, _ = out.Write([]byte("line\n"))
+	}
+	read := make(chan []byte)
+	go func() {
+		content := make([]byte, 3*len("line\n"))
+		_, _ = io.ReadFull(reader, content)
+		read <- content
+	}()
+	_ = out.Sync()
+	select {
+	case content := <-read:
+		if string(content) != "line\nline\nline\n" {
+			t.Errorf("%q", content)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Sync returned before the lines were written")
+	}
+}
