gateway: a long answer that is cut off looks incomplete to HTTP/1.0 callers too

An HTTP/1.0 caller took the first part of an answer beyond 1 MB for the whole one when the server or the deadline cut it off. HTTP/1.1 callers saw the missing last chunk. Evidence, before the fix: endless_test.go:209: HTTP/1.0: the caller takes 2097152 of 3145728 bytes for the whole answer The length is now passed on where the server gave one.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -164,3 +166,47 @@
 		t.Errorf("ran %+v", runs)
 	}
 }
+
+// Load: long answers of known length that the server cuts off. No caller takes what it got for
+// complete, nor one whose HTTP version has no chunks.
+func TestCutOffLongAnswerIsIncompleteForAllCallers(t *testing.T) {
+	const length, sent = 3 << 20, 2 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nServer-Signature: s\r\nRequest-Id: long\r\n\r\n%s", length, strings.Repeat("x", sent))
+			}
+			_ = conn.Close()
+		}
+	}()
+	f := newFleet(t, 1)
+	f.servers[0].Address = listener.Addr().String()
+	f.store.Put(platform.ServersPrefix+f.servers[0].ID, f.servers[0].Record("svc", "ready", 2))
+	f.configure(defaultParameters)
+	v := f.startReady("vm-1")
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		conn, err := net.Dial("tcp", v.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		_, _ = fmt.Fprintf(conn, "GET /r/ %s\r\nHost: h.example\r\nKey: k1\r\nRequest-Id: long\r\n\r\n", version)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || answer.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %+v, %v", version, answer, err)
+		}
+		if n, err := io.Copy(io.Discard, answer.Body); err == nil {
+			t.Errorf("%s: the caller takes %d of %d bytes for the whole answer", version, n, length)
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -355,8 +355,11 @@
 	if _, typed := header["Content-Type"]; !typed {
 		header["Content-Type"] = nil // otherwise net/http sets one from the content
 	}
-	if x.rest == nil && q.r.Method != http.MethodHead {
+	switch {
+	case x.rest == nil && q.r.Method != http.MethodHead:
 		header.Set("Content-Length", strconv.Itoa(len(x.body)))
+	case x.rest != nil && x.rest.ContentLength >= 0: // otherwise a cut is not visible to callers without chunks
+		header.Set("Content-Length", strconv.FormatInt(x.rest.ContentLength, 10))
 	}
 	q.closeIfStopping()
 	q.w.WriteHeader(x.status)
