--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,8 @@
 	outbound *outbound
 	attempts []attempt
 	refused  *placementResult // the decision not to place the request; nil if there was none
+	progress answerProgress
+	bodyRead bool // the body was read, or reading it failed
 }
 
 // attempt is the result of sending a request to one server.
@@ -67,6 +69,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	q := &request{g: g, w: w, r: r, caller: platform.ReadCallerHeaders(r.Header), arrived: time.Now()}
+	defer q.recoverPanic()
 	g.lastArrival.Store(q.arrived.UnixNano())
 	stages := []func() *refusal{q.findRoute, q.identify, q.readBody, q.admit, q.forward}
 	for _, stage := range stages {
@@ -129,6 +132,7 @@
 // readBody reads the complete body before a slot is requested, so that the slot is
 // not held during the upload and a request that did not run can be sent again.
 func (q *request) readBody() *refusal {
+	q.bodyRead = true
 	limit := q.table.config.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = maxBodyBytes
@@ -261,7 +265,7 @@
 
 // tryServer sends the request to the server that was granted, and reports the outcome
 // to the owner of the service.
-func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) *exchange {
+func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) (x *exchange) {
 	seq := decision.ID.Seq
 	q.g.running.add(q.service, seq, server.ID)
 	if !decision.Local {
@@ -272,13 +276,16 @@
 	forwarded.Apply(header)
 	sent := *q.outbound
 	sent.header = header
-	x := q.g.backend.attempt(ctx, server, &sent, q.deadline)
-	q.g.running.remove(q.service, seq)
-	q.g.complete(q.service, seq, server.ID, x.outcome, x.took, decision.Owner)
-	q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
-		Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
-		Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused,
-	}})
+	x = &exchange{outcome: placement.Broken} // if the attempt panics
+	defer func() {
+		q.g.running.remove(q.service, seq)
+		q.g.complete(q.service, seq, server.ID, x.outcome, x.took, decision.Owner)
+		q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
+			Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
+			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused,
+		}})
+	}()
+	x = q.g.backend.attempt(ctx, server, &sent, q.deadline)
 	return x
 }
 
@@ -379,15 +386,20 @@
 	if _, typed := header["Content-Type"]; !typed {
 		header["Content-Type"] = nil // otherwise net/http sets one from the content
 	}
-	if x.rest == nil && q.r.Method != http.MethodHead {
+	switch {
+	case x.rest == nil && q.r.Method != http.MethodHead:
 		header.Set("Content-Length", strconv.Itoa(len(x.body)))
+	case x.rest != nil && x.rest.ContentLength >= 0: // otherwise a cut is not visible to callers without chunks
+		header.Set("Content-Length", strconv.FormatInt(x.rest.ContentLength, 10))
 	}
 	q.closeIfStopping()
 	q.w.WriteHeader(x.status)
+	q.progress = answerBegun
 	_, err := q.w.Write(x.body)
 	if err == nil && x.rest != nil {
 		err = q.stream(x)
 	}
+	q.progress = answerComplete
 	q.log(x.status, "", err)
 	return nil
 }
@@ -428,10 +440,35 @@
 	header["Content-Type"] = nil
 	header.Set("Content-Length", "0")
 	q.closeIfStopping()
+	unread := !q.bodyRead && q.r.Body != http.NoBody
+	connection := http.NewResponseController(q.w)
+	if unread {
+		_ = connection.EnableFullDuplex() // otherwise the answer waits for the end of the body
+	}
 	q.w.WriteHeader(f.status)
+	q.progress = answerComplete
 	q.log(f.status, f.reason, nil)
+	if unread {
+		q.discardBody(connection)
+	}
+}
+
+// discardBody sends the answer and reads the body that was not needed: closing a
+// connection on which the caller still sends would reset it, and the answer could be
+// lost. If the body does not end in time, its rest must not be taken for a request.
+func (q *request) discardBody(connection *http.ResponseController) {
+	if err := connection.Flush(); err != nil {
+		return // the connection is broken
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(bodyDiscardTime)) // fails only on a closed connection, which the read reports
+	if _, err := io.CopyN(io.Discard, q.r.Body, maxBodyBytes); err != io.EOF {
+		panic(http.ErrAbortHandler)
+	}
 }
 
+// bodyDiscardTime limits the time in which the body of a refused request is read.
+const bodyDiscardTime = 2 * time.Second
+
 // log writes the log line that explains how the request ended. Lines about requests
 // served at the first attempt are sampled.
 func (q *request) log(status int, reason string, err error) {
@@ -492,9 +529,9 @@
 }
 
 func countRequest(service string, status int, took time.Duration) {
-	labels := `{service="` + service + `",status="` + strconv.Itoa(status) + `"}`
-	metrics.GetOrCreateCounter("lacewing_gateway_requests_total" + labels).Inc()
-	metrics.GetOrCreateHistogram(`lacewing_gateway_request_seconds{service="` + service + `"}`).Update(took.Seconds())
+	label := "service=" + strconv.Quote(service) // package metrics panics on a label that is not quoted
+	metrics.GetOrCreateCounter("lacewing_gateway_requests_total{" + label + `,status="` + strconv.Itoa(status) + `"}`).Inc()
+	metrics.GetOrCreateHistogram("lacewing_gateway_request_seconds{" + label + "}").Update(took.Seconds())
 }
 
 var localPlacements = metrics.GetOrCreateCounter("lacewing_gateway_placed_alone_total")
