gateway: a stop that refuses an upload does not reset it

Callers saw: a connection reset while they sent an upload to a VM that stops, which can destroy the 503 on its way to them. Cause: net/http closes the connection of an answer with "Connection: close" without reading the rest of the body, and a close with unread bytes is a reset. Change: as with other refusals, the rest is read for up to 2 s after the answer. Evidence: TestShutdownRefusesUploadsThatDoNotEnd, whose caller now goes on sending for 0.25 s after the answer, failed before (connection reset by peer) and passes.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -143,6 +143,7 @@
 	body, err := q.readAll(limit)
 	if err != nil {
 		if errors.Is(err, errStopping) {
+			q.bodyRead = false // the caller still sends it
 			return &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, "body did not arrive before this VM stops"}
 		}
 		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -200,7 +198,8 @@
 	<-v.done
 }
 
-// Load: a caller sends half of an upload and waits.
+// Load: a caller sends an upload slowly. It gets an answer, and may go on sending for a
+// moment, since it may not have read the answer yet.
 func TestShutdownRefusesUploadsThatDoNotEnd(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
@@ -208,18 +207,11 @@
 	parameters.timeout = "20s"
 	f.configure(parameters)
 	v := f.startReady("vm-1")
-	conn, err := net.Dial("tcp", v.callers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, "POST /r/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: upload\r\nKey: k1\r\nContent-Length: 1000\r\n\r\nhalf")
-	if err != nil {
-		t.Fatal(err)
-	}
+	u := f.dialUploader(v)
+	u.send(uploadHead("/r/", 1000, "") + "half")
 	f.waitFor("the upload is read", func() bool { return v.active.Load() == 1 })
 	v.stop()
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	answer, err := http.ReadResponse(u.reader, nil)
 	if err != nil {
 		t.Fatalf("the upload ends without an answer: %v", err)
 	}
@@ -227,6 +219,10 @@
 	if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" || !answer.Close {
 		t.Errorf("the upload ends with %d, %v", answer.StatusCode, answer.Header)
 	}
+	for range 5 {
+		u.send("more")
+		time.Sleep(50 * time.Millisecond)
+	}
 	<-v.done
 }
 
