gateway: an older configuration or server list cannot come into force after a newer one

Callers could see: a withdrawn key accepted again, or a route of before, on one VM, until the next configuration; requests to a server that drains. Cause: the catalog is changed under a lock, but its changes were put into force after it, by whichever goroutine came first: the reader, messages of other VMs and a fetch run at once. Change: putting changes into force is serialized, a configuration is compared by its version, and the servers are read from the catalog under the same lock.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -28,6 +28,8 @@
 	store   *platform.Store
 	started time.Time // of this VM
 
+	applying sync.Mutex // held while changes are put into force, so that the newest ones stay; locked before mu
+
 	mu              sync.Mutex
 	catalog         *catalog.Catalog
 	lastFetch       time.Time // start of the last fetch from another VM
@@ -217,12 +219,15 @@
 	return changes
 }
 
-// apply puts the changes of an update or read into force.
+// apply puts the changes of an update or read into force. Goroutines may call it in another
+// order than that in which they changed the catalog.
 func (f *follower) apply(effect catalog.Effect, source string) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	for _, err := range effect.Errors {
 		f.g.log.Warn("configuration rejected", zap.Error(err))
 	}
-	if effect.Config != nil {
+	if current := f.g.table.Load(); effect.Config != nil && (current == nil || current.config.Version < effect.Config.Version) {
 		if f.g.table.Swap(newTable(effect.Config)) == nil {
 			close(f.g.loaded)
 		}
@@ -239,7 +244,8 @@
 	}
 }
 
-// refreshServers puts the usable servers of the catalog into force.
+// refreshServers puts the usable servers of the catalog into force. The caller holds
+// applying.
 func (f *follower) refreshServers(source string) {
 	f.mu.Lock()
 	servers := f.catalog.Servers(time.Now())
@@ -257,6 +263,8 @@
 	}
 	f.mu.Unlock()
 	if due {
+		f.applying.Lock()
+		defer f.applying.Unlock()
 		f.refreshServers("records missing after an outage")
 	}
 }
