gateway: a stop decides by the clock what it accepts, and leaves a margin

Change: shutdownTimes holds the ends of the phases, known from the start of the shutdown; a request is accepted by the clock, when its route is looked up and again when its body is complete; acceptance ends 0.25 s before the half; uploads that have not ended then are refused at once. The phases have one name each (accept, place, serve, exit) in schedule, times and contexts.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	g.schedule.refuse = 0
+	g.schedule.Load().accept = 0
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{Gateway: g, callers: settings.CallerAddress, ready: "http://" + settings.ReadyAddress + platform.ReadyPath, stop: stop, done: make(chan struct{})}
 	go func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,16 +51,14 @@
 	seq          atomic.Uint64
 	active       atomic.Int64 // caller requests in progress
 	lastArrival  atomic.Int64 // time of the newest request's arrival, Unix nanoseconds
-	stopping     atomic.Bool  // shutting down: not ready, and answers close their connections
-	refusing     atomic.Bool  // shutting down: new requests are refused
 
-	waits    context.Context         // ends when a shutdown refuses the requests that wait for their body or for a server
-	endWaits context.CancelFunc      // ends waits
-	requests context.Context         // parent of the contexts of all requests; ends when a shutdown gives them up
-	giveUp   context.CancelCauseFunc // ends requests
+	schedule  atomic.Pointer[shutdownSchedule] // of a shutdown that begins now
+	shutdown  atomic.Pointer[shutdownTimes]    // of the shutdown in progress; nil if there is none
+	accepting phase                            // ends when a shutdown refuses new requests and uploads that have not ended
+	placing   phase                            // ends when a shutdown refuses the requests that wait for a server
+	serving   phase                            // parent of the contexts of all requests; ends when a shutdown gives them up
 
 	logSampler sampler
-	schedule   shutdownSchedule
 
 	pendingMu sync.Mutex
 	pending   map[uint64]chan reply
@@ -87,10 +85,9 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(),
-		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod),
+		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
 	}
-	g.waits, g.endWaits = context.WithCancel(context.Background())
-	g.requests, g.giveUp = context.WithCancelCause(context.Background())
+	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
 	g.owned.onAvoidanceChange = g.logAvoidance
 	g.seq.Store(incarnation) // sequence numbers of an earlier start must not be reused
 	g.follower = newFollower(g, platform.NewStore(settings.Store))
@@ -118,7 +115,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler: g, BaseContext: func(net.Listener) context.Context { return g.requests },
+		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving },
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	go func() {
@@ -163,7 +160,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if g.stopping.Load() || g.table.Load() == nil {
+	if g.isStopping() || g.table.Load() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -302,7 +299,7 @@
 	}
 	if !m.Reply && !m.Member.Leaving {
 		self := g.self
-		self.Leaving = g.stopping.Load()
+		self.Leaving = g.isStopping()
 		g.mesh.send(m.Member.Address, kindAnnouncement, &announcement{Member: self, Reply: true})
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -85,7 +85,7 @@
 	if q.table == nil {
 		return &refusal{http.StatusServiceUnavailable, startRetryAfter, "no configuration yet"}
 	}
-	if q.g.refusing.Load() {
+	if !q.g.accepts(time.Now()) {
 		return &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, errStopping.Error()}
 	}
 	q.route = q.table.route(q.r.Host, q.r.URL.Path)
@@ -161,8 +161,7 @@
 	return nil
 }
 
-// readAll reads the body until the deadline, or until a shutdown refuses the requests that
-// wait.
+// readAll reads the body until the deadline, or until a shutdown refuses new requests.
 func (q *request) readAll(limit int64) ([]byte, error) {
 	if q.r.Body == http.NoBody {
 		return nil, nil
@@ -171,9 +170,9 @@
 	if err := connection.SetReadDeadline(q.deadline); err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(q.g.waits, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection, which the read reports
+	stop := context.AfterFunc(q.g.accepting, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) }) // fails only on a closed connection, which the read reports
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	if !stop() {
+	if !stop() || !q.g.accepts(time.Now()) {
 		return nil, errStopping
 	}
 	if err != nil {
@@ -248,7 +247,7 @@
 		return ctx, func() {}
 	}
 	waiting, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(q.g.waits, func() { cancel(errStopping) })
+	stop := context.AfterFunc(q.g.placing, func() { cancel(errStopping) })
 	return waiting, func() {
 		stop()
 		cancel(nil)
@@ -427,7 +426,7 @@
 }
 
 func (q *request) closeIfStopping() {
-	if q.g.stopping.Load() {
+	if q.g.isStopping() {
 		q.w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -434,9 +434,9 @@
 	if v.self.Name != owner {
 		v = vms[1]
 	}
-	v.schedule.refuse = time.Second
+	v.schedule.Load().accept = time.Second
 	v.stop()
-	f.waitFor("the VM stops", v.stopping.Load)
+	f.waitFor("the VM stops", v.isStopping)
 	f.waitFor("it has another owner", func() bool { return v.peers.ownerOf("acc").Name != owner })
 	if r := f.call(v, http.MethodPost, "/r/", "k1", "order", nil); r.status != http.StatusOK {
 		t.Errorf("%+v", r)
@@ -447,7 +447,7 @@
 	f := newFleet(t, 2)
 	f.configure(defaultParameters)
 	v := f.startReady("vm-1")
-	v.schedule.refuse = 2 * time.Second
+	v.schedule.Load().accept = 2 * time.Second
 	for _, s := range f.servers {
 		s.SetProcessingTime(500 * time.Millisecond)
 	}
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -9,58 +9,98 @@
 )
 
 const (
-	acceptShare        = 0.5                    // of the grace period: requests that arrive later are refused. The rest of it is for those accepted; the balancer removes the VM within 2 to 3 s
-	waitShare          = 2.0 / 3                // of the grace period: requests that still wait then are refused. Few servers take longer than the rest of it
-	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
-	graceMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL; its answer is written meanwhile
+	acceptShare        = 1.0 / 2                // of the grace period, in which requests are accepted; operators expect that those sent in its first half are served
+	placeShare         = 2.0 / 3                // of the grace period, in which requests are sent to servers; few servers take longer than the rest of it
+	acceptMargin       = 250 * time.Millisecond // a busy VM may learn this late of its shutdown
+	serveMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL; its answer is written meanwhile
 	exitMargin         = 100 * time.Millisecond // between the end of the last answer and SIGKILL
+	leaveAnnouncements = 4                      // repeats of the announcement that this VM leaves; datagrams can be lost
 	drainPollInterval  = 20 * time.Millisecond  // between checks whether the last requests have ended
 	quietTime          = 250 * time.Millisecond // without a new request before the connections are closed; requests may still be in sockets
 )
 
-// shutdownSchedule holds the times from the start of a shutdown until its phases begin.
+// shutdownSchedule holds the durations of the phases of a shutdown, all from its start.
 type shutdownSchedule struct {
-	refuse   time.Duration // requests that arrive are refused
-	endWaits time.Duration // requests that wait for their body or for a server are refused, if none has run them
-	giveUp   time.Duration // requests in progress are given up, and the connections are closed
-	end      time.Duration // the process ends
+	accept time.Duration // requests that arrive are accepted
+	place  time.Duration // accepted requests are sent to servers
+	serve  time.Duration // servers work on requests
+	exit   time.Duration // answers are written, and the process ends
 }
 
-func newShutdownSchedule(gracePeriod time.Duration) shutdownSchedule {
-	return shutdownSchedule{
-		refuse:   time.Duration(acceptShare * float64(gracePeriod)),
-		endWaits: time.Duration(waitShare * float64(gracePeriod)),
-		giveUp:   gracePeriod - graceMargin,
-		end:      gracePeriod - exitMargin,
+func newShutdownSchedule(gracePeriod time.Duration) *shutdownSchedule {
+	return &shutdownSchedule{
+		accept: time.Duration(acceptShare*float64(gracePeriod)) - acceptMargin,
+		place:  time.Duration(placeShare * float64(gracePeriod)),
+		serve:  gracePeriod - serveMargin,
+		exit:   gracePeriod - exitMargin,
 	}
 }
 
+// shutdownTimes are the ends of the phases of a shutdown that has begun.
+type shutdownTimes struct {
+	accept, place, serve, exit time.Time
+}
+
+func (s *shutdownSchedule) beginAt(began time.Time) *shutdownTimes {
+	return &shutdownTimes{began.Add(s.accept), began.Add(s.place), began.Add(s.serve), began.Add(s.exit)}
+}
+
+// phase is a context that ends with a phase of the shutdown, with the cause errStopping.
+type phase struct {
+	context.Context
+	cancel context.CancelCauseFunc
+}
+
+func newPhase() phase {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return phase{ctx, cancel}
+}
+
+func (p phase) end() { p.cancel(errStopping) }
+
+// isStopping reports whether the shutdown has begun: the VM is not ready, and answers close
+// their connections.
+func (g *Gateway) isStopping() bool { return g.shutdown.Load() != nil }
+
+// accepts reports whether a request may begin now. It goes by the clock, because the
+// goroutine of the shutdown may be late on a busy VM.
+func (g *Gateway) accepts(now time.Time) bool {
+	times := g.shutdown.Load()
+	return times == nil || now.Before(times.accept)
+}
+
 // shutDown waits until the balancer has removed the VM, removes the registration,
 // finishes the accepted requests and closes the connections. unregister must not block.
 func (g *Gateway) shutDown(server *http.Server, unregister func()) {
-	began := time.Now()
+	times := g.schedule.Load().beginAt(time.Now())
+	g.shutdown.Store(times)
 	g.log.Info("stopping", zap.Int64("active", g.active.Load()))
-	g.stopping.Store(true)
 	g.peers.markLeaving()
-	g.announce(true)
-	for time.Since(began) < g.schedule.refuse {
-		time.Sleep(g.schedule.refuse / leaveAnnouncements)
-		g.announce(true)
-	}
-	g.refusing.Store(true)
+	g.announceLeaving(times.accept)
+	g.accepting.end()
 	refusingSince := time.Now()
 	g.log.Info("new requests refused", zap.Int64("active", g.active.Load()))
 	unregister()
-	endWaits := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
-	defer endWaits.Stop()
-	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.giveUp {
+	endPlacing := time.AfterFunc(time.Until(times.place), g.placing.end)
+	defer endPlacing.Stop()
+	for !g.isQuiet(time.Now(), refusingSince) && time.Now().Before(times.serve) {
 		time.Sleep(drainPollInterval)
 	}
 	if active := g.active.Load(); active > 0 {
 		g.log.Warn("requests given up: the grace period ends", zap.Int64("active", active))
 	}
-	g.giveUp(errStopping)
-	g.closeConnections(server, began.Add(g.schedule.end))
+	g.serving.end()
+	g.closeConnections(server, times.exit)
+}
+
+// announceLeaving tells the other VMs several times that this VM leaves, until the time.
+func (g *Gateway) announceLeaving(until time.Time) {
+	interval := time.Until(until) / leaveAnnouncements
+	g.announce(true)
+	for left := time.Until(until); left > 0; left = time.Until(until) {
+		time.Sleep(min(left, interval))
+		g.announce(true)
+	}
 }
 
 // closeConnections closes the listener and the connections. Those on which an answer is
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -3,12 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform/platformtest"
 )
 
@@ -18,7 +20,7 @@
 	f := newFleet(t, 1)
 	f.configure(defaultParameters)
 	v := f.startReady("vm-1")
-	v.schedule.refuse = 100 * time.Millisecond
+	v.schedule.Load().accept = 100 * time.Millisecond
 	const callers = 8
 	var connections []*platformtest.Caller
 	for range callers {
@@ -38,7 +40,7 @@
 		}
 	}
 	v.stop()
-	f.waitFor("the VM refuses requests", v.refusing.Load)
+	f.waitFor("the VM refuses requests", func() bool { return !v.accepts(time.Now()) })
 	for i, c := range connections {
 		time.Sleep(quietTime / 4)
 		reply, err := c.Do(call("after-" + string(rune('a'+i))))
@@ -234,7 +236,7 @@
 	parameters.timeout = "3s"
 	f.configure(parameters)
 	v := f.startReady("vm-1")
-	v.schedule = newShutdownSchedule(v.settings.Bounds.GracePeriod)
+	v.schedule.Store(newShutdownSchedule(v.settings.Bounds.GracePeriod))
 	for _, s := range f.servers {
 		s.SetProcessingTime(1600 * time.Millisecond)
 	}
@@ -253,3 +255,46 @@
 	}
 	calls.Wait()
 }
+
+// Load: a VM whose processor stands still notices late that it no longer accepts requests.
+func TestLateShutdownAcceptsNoRequestThatCannotEnd(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.configure(defaultParameters)
+	v := f.startReady("vm-1")
+	begins, upload := f.dialUploader(v), f.dialUploader(v)
+	upload.send(uploadHead("/r/", 2, "") + "1")
+	f.waitFor("the upload is read", func() bool { return v.active.Load() == 1 })
+	v.shutdown.Store((&shutdownSchedule{exit: time.Second}).beginAt(time.Now())) // shutDown has not run any further
+	begins.send(uploadHead("/r/", 0, ""))
+	upload.send("2")
+	for _, u := range []*uploader{begins, upload} {
+		if status := u.receive(); status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", status)
+		}
+	}
+	if runs := len(f.servers[0].Runs()); runs > 0 {
+		t.Errorf("%d requests ran", runs)
+	}
+}
+
+// Load: requests that arrive during the whole grace period. Operators expect that those sent
+// in its first half are served, unless their servers still work in its last sixth.
+func TestShutdownScheduleLeavesTimeForWhatItAccepts(t *testing.T) {
+	for _, grace := range []time.Duration{4 * time.Second, 6 * time.Second, time.Minute} {
+		s := newShutdownSchedule(grace)
+		if s.accept <= 0 || s.accept >= grace/2 || s.place <= s.accept || s.serve <= s.place || s.serve < grace*5/6 || s.exit <= s.serve || s.exit >= grace {
+			t.Errorf("grace period %v: %+v", grace, s)
+		}
+	}
+}
+
+// Load: a server works on a request when the shutdown gives it up.
+func TestGivenUpRequestIsNoFailureOfItsServer(t *testing.T) {
+	serving := newPhase()
+	serving.end()
+	x := &exchange{err: os.ErrDeadlineExceeded}
+	if x.classify(serving); x.outcome != placement.Unused {
+		t.Errorf("outcome %v", x.outcome)
+	}
+}
