gateway: a changed grace period counts without a restart

Callers would see: after operators have shortened the grace period of VMs that run, a stop by the old schedule, which the platform kills with requests in progress. Cause: the schedule was computed once, at the start of the process. Change: Reload computes it anew; a stop takes the schedule that is in force when it begins. Evidence: TestReloadedGracePeriodIsKept failed before (the process ends after 0s, of the settings before) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,16 +142,17 @@
 	return nil
 }
 
-// Reload applies changed settings, as returned by platform.LoadSettings. Only a
-// change of the store's address takes effect; the addresses of this VM need a
-// restart. An error is logged and the settings stay as they are.
+// Reload applies changed settings, as returned by platform.LoadSettings. Only the
+// store's address and the grace period take effect; the other settings need a restart.
+// An error is logged and the settings stay as they are.
 func (g *Gateway) Reload(settings platform.Settings, err error) {
 	if err != nil {
 		g.log.Warn("settings not reloaded", zap.Error(err))
 		return
 	}
 	g.follower.store.SetAddress(settings.Store)
-	g.log.Info("settings reloaded", zap.String("store", settings.Store))
+	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
+	g.log.Info("settings reloaded", zap.String("store", settings.Store), zap.Duration("grace", settings.Bounds.GracePeriod))
 }
 
 // serveReady reports to the balancer whether the VM accepts new connections.
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lacewingmount.dev/placement"
+	"lacewingmount.dev/platform"
 	"lacewingmount.dev/platform/platformtest"
 )
 
@@ -289,6 +290,15 @@
 	}
 }
 
+// Load: the operators change the grace period of a VM that runs.
+func TestReloadedGracePeriodIsKept(t *testing.T) {
+	g := fuzzGateway(t)
+	g.Reload(platform.Settings{Bounds: platform.Bounds{GracePeriod: 2 * time.Second}}, nil)
+	if exit := g.schedule.Load().exit; exit <= time.Second || exit >= 2*time.Second {
+		t.Errorf("the process ends after %v", exit)
+	}
+}
+
 // Load: a VM with a grace period of 1 s stops while the store does not answer.
 func TestShutdownDoesNotWaitForTheStoreBeyondAShortGracePeriod(t *testing.T) {
 	t.Parallel()
