gateway: a stopping VM sends no request to a server that cannot answer in time

Callers saw: nothing new, but servers got work that was broken off after as little as 0.1 s, and the caller waited for it. Cause: a retry of a request that may have run took new servers until its deadline or 5.7 s. Evidence: TestShutdownSendsNoRequestThatCannotEnd failed before (2 servers got the request) and passes; go test ./gateway -run 'Shutdown|Reloaded|GivenUp': ok, 11.3 s.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -201,6 +201,9 @@
 	var failedAnswer *exchange // complete answer with a server failure, delivered if no other server gives a better one
 	for {
 		left := time.Until(q.deadline)
+		if times := q.g.shutdown.Load(); times != nil {
+			left = min(left, time.Until(times.serve))
+		}
 		if left < minServerTime {
 			return q.deadlineRefusal()
 		}
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -318,6 +318,35 @@
 	}
 }
 
+// Load: a server fails a read shortly before a stopping VM gives its requests up. No other
+// server gets it for a time in which it cannot answer.
+func TestShutdownSendsNoRequestThatCannotEnd(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	parameters := defaultParameters
+	parameters.kind = "safe"
+	f.configure(parameters)
+	v := f.startReady("vm-1")
+	f.setBehavior(func(*platformtest.Server, string) platformtest.Behavior { return platformtest.Fail })
+	for _, s := range f.servers {
+		s.SetProcessingTime(500 * time.Millisecond)
+	}
+	replies := make(chan platformtest.Reply, 1)
+	go func() {
+		reply, err := v.do(platformtest.Call{ID: "fails", Method: http.MethodGet, Path: "/r/", Key: "k1", Deadline: 3 * time.Second})
+		if err != nil {
+			t.Error(err)
+		}
+		replies <- reply
+	}()
+	f.waitFor("a server runs the request", func() bool { return f.countRuns("fails") == 1 })
+	v.shutdown.Store((&shutdownSchedule{place: time.Second, serve: 500*time.Millisecond + minServerTime/2, exit: time.Second}).beginAt(time.Now()))
+	<-replies
+	if runs := f.countRuns("fails"); runs != 1 {
+		t.Errorf("%d servers got the request", runs)
+	}
+}
+
 // Load: a server works on a request when the shutdown gives it up.
 func TestGivenUpRequestIsNoFailureOfItsServer(t *testing.T) {
 	serving := newPhase()
