--- a/standin/link.go
+++ b/standin/link.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -37,15 +39,64 @@
 // Link forwards TCP connections and injects faults into them.
 type Link struct {
 	target     string
+	slow       bool
 	mu         sync.Mutex
 	faults     LinkFaults
 	generation int // bytes of connections from an earlier generation are discarded
 	open       map[*net.TCPConn]bool
+	refused    map[string]bool // addresses of callers whose connections the target did not accept
 	done       <-chan struct{}
 }
 
+// The properties of a slow link. With small segments and a small buffer, the longest
+// answers do not fit into the kernel buffers of the connection to the target.
+const (
+	slowSegment = 256       // bytes
+	slowBuffer  = 4 << 10   // bytes
+	slowRate    = 160 << 10 // bytes per second from the target to the caller
+)
+
 // NewLink returns a link to target without faults.
-func NewLink(target string) *Link { return &Link{target: target, open: map[*net.TCPConn]bool{}} }
+func NewLink(target string) *Link {
+	return &Link{target: target, open: map[*net.TCPConn]bool{}, refused: map[string]bool{}}
+}
+
+// NewSlowLink returns a link to target that is slow, besides the faults that are set.
+func NewSlowLink(target string) *Link {
+	l := NewLink(target)
+	l.slow = true
+	return l
+}
+
+// SlowLinkTime returns how long a slow link takes to forward an answer.
+func SlowLinkTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / slowRate
+}
+
+// Refused reports whether the target did not accept the connection of the caller with
+// this address.
+func (l *Link) Refused(caller string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused[caller]
+}
+
+// dial connects to the target.
+func (l *Link) dial() (net.Conn, error) {
+	var dialer net.Dialer
+	if l.slow {
+		dialer.Control = func(_, _ string, conn syscall.RawConn) error {
+			var failure error
+			err := conn.Control(func(fd uintptr) {
+				failure = errors.Join(
+					syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, slowSegment),
+					syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBuffer))
+			})
+			return errors.Join(err, failure)
+		}
+	}
+	return dialer.Dial("tcp", l.target)
+}
 
 // SetFaults replaces the faults.
 func (l *Link) SetFaults(faults LinkFaults) {
@@ -89,8 +140,11 @@
 }
 
 func (l *Link) relay(caller net.Conn) {
-	target, err := net.Dial("tcp", l.target)
+	target, err := l.dial()
 	if err != nil {
+		l.mu.Lock()
+		l.refused[caller.RemoteAddr().String()] = true
+		l.mu.Unlock()
 		_ = caller.Close()
 		return
 	}
@@ -112,9 +166,16 @@
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
+	slow := l.slow && !forward
+	if slow {
+		buffer = buffer[:slowBuffer]
+	}
 	for {
 		n, err := from.Read(buffer)
 		cut, delay := l.faultState(generation, forward)
+		if slow {
+			delay += SlowLinkTime(n)
+		}
 		time.Sleep(delay)
 		if !cut && n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
