soak: requests that take seconds, queue, and have long or slow responses

No request of the soak was in progress, queued or half delivered when a stop closed its connections: servers answered in 0.12 s, and the time-out was 2 s. A second service has 6 slots for 16 more callers, processing times up to 3 s drawn from the seed, and a time-out of 5 s; 30 of 100 responses have 5 to 60 KiB, and a quarter of the callers use slow links. The time bound of a route holds as before, without the time that the slow link itself takes. lastServer is now the server that received the request last; it was the last in the list that ran it.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -13,8 +13,11 @@
 
 const (
 	callerCount      = 28
+	slowCallerCount  = 16                    // callers of slowService, in addition
+	slowLinkEvery    = 4                     // one caller in this many uses the VMs' slow links
 	meanThinkTime    = 60 * time.Millisecond // mean pause of a caller between requests
 	callDeadline     = 4 * time.Second       // longer than routeTimeout, so that the gateway has to end the request
+	slowDeadline     = 7 * time.Second       // the same for slowTimeout
 	dialTimeout      = 500 * time.Millisecond
 	cancelShare      = 0.02                  // share of calls that the caller cancels
 	uploadSize       = 40 << 10              // bytes; more than a socket buffer may accept at once
@@ -26,8 +29,11 @@
 type call struct {
 	platformtest.Call
 	vm             *vm
-	incarnation    int // of the VM's process when the request was sent
-	version        int // of the configuration that contains the key; 0 for a key that every version contains
+	incarnation    int           // of the VM's process when the request was sent
+	service        string        // of the request's route
+	timeout        time.Duration // of the request's route
+	viaSlowLink    bool          // sent through the VM's slow link
+	version        int           // of the configuration that contains the key; 0 for a key that every version contains
 	safe           bool
 	connected      bool // the request was sent on a connection that had been used before
 	cancelled      bool // the caller closes its connection cancelAfter the request was sent
@@ -44,7 +50,7 @@
 
 func (env *testEnv) startCallers() *callerGroup {
 	g := &callerGroup{stopping: make(chan struct{})}
-	for i := range callerCount {
+	for i := range callerCount + slowCallerCount {
 		g.running.Go(func() { env.runCaller(i, g.stopping) })
 	}
 	return g
@@ -74,10 +80,17 @@
 		v := env.vms[random.IntN(len(env.vms))]
 		connection := connections[v]
 		c := env.newCall(random, fmt.Sprintf("c%d-%d", caller, n), v)
-		c.connected = connection != nil
+		if caller >= callerCount {
+			c = newSlowCall(random, c.ID, v)
+		}
+		c.connected, c.viaSlowLink = connection != nil, caller%slowLinkEvery == 0
 		if connection == nil {
+			address := v.callersAddr
+			if c.viaSlowLink {
+				address = v.slowAddr
+			}
 			var err error
-			if connection, err = platformtest.Dial(v.callerAddress, dialTimeout); err != nil {
+			if connection, err = platformtest.Dial(address, dialTimeout); err != nil {
 				continue // the VM is not listening, so nothing was sent
 			}
 		}
@@ -91,7 +104,7 @@
 }
 
 func (env *testEnv) newCall(random *rand.Rand, id string, v *vm) *call {
-	c := &call{vm: v, Call: platformtest.Call{ID: id, Method: http.MethodPost, Path: "/order/" + id, Key: "steady", Body: "order " + id, Deadline: callDeadline}}
+	c := newOrder(id, v)
 	switch draw := random.Float64(); {
 	case draw < 0.25:
 		c.Method, c.Path, c.Body, c.safe = http.MethodGet, "/read/"+id, "", true
@@ -111,6 +124,22 @@
 	return c
 }
 
+func newOrder(id string, v *vm) *call {
+	return &call{vm: v, service: service, timeout: routeTimeout, Call: platformtest.Call{
+		ID: id, Method: http.MethodPost, Path: "/order/" + id, Key: "steady", Body: "order " + id, Deadline: callDeadline,
+	}}
+}
+
+// newSlowCall returns a call of slowService.
+func newSlowCall(random *rand.Rand, id string, v *vm) *call {
+	c := newOrder(id, v)
+	c.service, c.timeout, c.Deadline, c.Path = slowService, slowTimeout, slowDeadline, "/slow-order/"+id
+	if random.Float64() < 0.25 {
+		c.Method, c.Path, c.Body, c.safe = http.MethodGet, "/slow-read/"+id, "", true
+	}
+	return c
+}
+
 // send sends a call, records its result and reports whether the connection can be reused.
 func (env *testEnv) send(connection *platformtest.Caller, c *call, cancel bool) bool {
 	c.incarnation, c.cancelled, c.sentAt = c.vm.incarnation(), cancel, time.Now()
@@ -132,12 +161,12 @@
 	for _, v := range env.vms {
 		served := 0
 		for n := range requestsPerVM {
-			connection, err := platformtest.Dial(v.callerAddress, dialTimeout)
+			connection, err := platformtest.Dial(v.callersAddr, dialTimeout)
 			if err != nil {
 				env.t.Errorf("RECOVER: %s does not accept connections: %v", v.name, err)
 				break
 			}
-			c := &call{vm: v, Call: platformtest.Call{ID: fmt.Sprintf("after-%s-%d", v.name, n), Method: http.MethodPost, Path: "/order/", Key: "steady", Deadline: callDeadline}}
+			c := newOrder(fmt.Sprintf("after-%s-%d", v.name, n), v)
 			env.send(connection, c, false)
 			connection.Close()
 			if c.err == nil && c.reply.Status == http.StatusOK {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingmount.dev/platform/platformtest"
+	"lacewingmount.dev/standin"
 )
 
 const (
@@ -21,22 +22,34 @@
 // observations are the requests that the backend servers received, by request ID.
 type observations struct {
 	runs       map[string][]platformtest.Run
-	lastServer map[string]*backendServer // the server that ran the request last
+	lastServer map[string]*backendServer // the server that received the request last
 	arrivals   map[string][]platformtest.Arrival
 }
 
-// check compares the observations of callers and backend servers with the guarantees.
-func (env *testEnv) check() {
+// observe returns what the backend servers received.
+func (env *testEnv) observe() observations {
 	seen := observations{runs: map[string][]platformtest.Run{}, lastServer: map[string]*backendServer{}, arrivals: map[string][]platformtest.Arrival{}}
-	for _, b := range env.servers {
+	latest := map[string]time.Time{}
+	for _, b := range slices.Concat(env.servers, env.slowServers) {
 		for _, run := range b.Runs() {
 			seen.runs[run.ID] = append(seen.runs[run.ID], run)
-			seen.lastServer[run.ID] = b
 		}
 		for _, a := range b.Arrivals() {
 			seen.arrivals[a.ID] = append(seen.arrivals[a.ID], a)
+			if a.At.After(latest[a.ID]) {
+				latest[a.ID], seen.lastServer[a.ID] = a.At, b
+			}
 		}
 	}
+	for _, runs := range seen.runs {
+		slices.SortFunc(runs, func(x, y platformtest.Run) int { return x.At.Compare(y.At) })
+	}
+	return seen
+}
+
+// check compares the observations of callers and backend servers with the guarantees.
+func (env *testEnv) check() {
+	seen := env.observe()
 	sent := map[string]bool{}
 	counts := map[string]int{}
 	for _, c := range env.calls {
@@ -98,7 +111,12 @@
 // checkResponse checks that the response is in time, complete and the caller's own,
 // and that a request refused as not run did not run.
 func (env *testEnv) checkResponse(c *call, runs []platformtest.Run) {
-	if took := c.doneAt.Sub(c.sentAt); took > routeTimeout+responseTolerance && !c.cancelled && env.undisturbed(c.sentAt, c.doneAt, c.vm.name) {
+	body := platformtest.ResponseBody(c.ID, env.work(c.ID, c.service).BodySize)
+	took := c.doneAt.Sub(c.sentAt)
+	if c.viaSlowLink {
+		took -= standin.SlowLinkTime(len(c.reply.Body))
+	}
+	if took > c.timeout+responseTolerance && !c.cancelled && env.undisturbed(c.sentAt, c.doneAt, c.vm.name) {
 		env.reportViolation("CONFIG", c, runs, "no response within the route's timeout, but after "+took.String()+
 			"; longest stall of this process meanwhile "+env.stalls.longest(c.sentAt, c.doneAt).String()+"; the VM's line: "+env.vmLine(c))
 	}
@@ -109,7 +127,7 @@
 	case c.reply.ID != c.ID:
 		env.reportViolation("MIXED", c, runs, "response to request "+c.reply.ID)
 	case c.reply.Status == http.StatusOK:
-		complete := c.reply.Body == "body of "+c.ID || c.reply.Body == "early"
+		complete := c.reply.Body == body || c.reply.Body == "early"
 		if !complete || c.reply.Signature == "" || len(runs) == 0 {
 			env.reportViolation("MIXED", c, runs, "success that no server sent: "+c.reply.Body)
 		}
@@ -181,7 +199,7 @@
 }
 
 // isResponseLost reports whether a connection ended without a response although an
-// undisturbed server ran the request.
+// undisturbed server received the request.
 func (env *testEnv) isResponseLost(c *call, seen observations) bool {
 	b := seen.lastServer[c.ID]
 	if c.err == nil || c.cancelled || b == nil || !c.connected {
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,12 +25,22 @@
 const (
 	serverCount     = 6
 	processingTime  = 120 * time.Millisecond // keeps half of the slots busy, so that every server is used
+	slowServerCount = 3                      // servers of slowService; they are never disturbed
+	slowServerSlots = 2                      // fewer in all than slow callers, so that requests queue
+	shortSlowTime   = 300 * time.Millisecond // longest processing time of most requests of slowService
+	longSlowTime    = 3 * time.Second        // longest processing time of the others
+	longSlowShare   = 0.2                    // share of the others
+	longBodyShare   = 0.3                    // share of responses with a body of minLongBody to maxLongBody
+	minLongBody     = 5 << 10                // bytes
+	maxLongBody     = 60 << 10               // bytes
 	heartbeatPeriod = 1500 * time.Millisecond
 	recoveryTime    = 4 * time.Second // longer than the estimated failure period of a server and the time for which an owner stays suspected
 	routeTimeout    = 2 * time.Second
-	maxAttempts     = 2  // servers per request
-	busyRate        = 20 // requests per second, and burst in requests, of the account that exceeds its limit
+	slowTimeout     = 5 * time.Second // of the routes to slowService
+	maxAttempts     = 2               // servers per request
+	busyRate        = 20              // requests per second, and burst in requests, of the account that exceeds its limit
 	service         = "svc"
+	slowService     = "slow"
 )
 
 // bounds are the bounds of the users' first deployments.
@@ -41,6 +53,7 @@
 type testEnv struct {
 	t      *testing.T
 	dir    string
+	seed   int64
 	random *rand.Rand // draws the faults
 	ctx    context.Context
 	store  *platformtest.Store
@@ -48,7 +61,8 @@
 	stalls stallMeter
 
 	mu           sync.Mutex
-	servers      []*backendServer // including those that are gone
+	servers      []*backendServer // of service, including those that are gone
+	slowServers  []*backendServer // of slowService
 	versions     []configVersion  // of the configuration; version N has index N-1
 	disturbances map[string][]period
 	calls        []*call
@@ -58,6 +72,7 @@
 // backendServer is a fake backend server with a link in front of it.
 type backendServer struct {
 	*platformtest.Server
+	service       string
 	link          *standin.Link
 	sequence      int
 	state         string
@@ -76,7 +91,7 @@
 func newTestEnv(t *testing.T, seed int64) *testEnv {
 	t.Helper()
 	env := &testEnv{
-		t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(uint64(seed), 1)), ctx: t.Context(),
+		t: t, dir: t.TempDir(), seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), ctx: t.Context(),
 		store: platformtest.NewStore(), disturbances: map[string][]period{},
 	}
 	var err error
@@ -90,6 +105,11 @@
 	for range serverCount {
 		env.addServer()
 	}
+	for i := range slowServerCount {
+		b := env.newServer(fmt.Sprintf("slow-%d", i), slowService)
+		b.Slots = slowServerSlots
+		env.slowServers = append(env.slowServers, b)
+	}
 	go env.writeHeartbeats()
 	go env.stalls.run(env.ctx.Done())
 	ports := platformtest.FreePorts(env.t, portsPerVM**vmCount)
@@ -108,24 +128,48 @@
 	_, _ = fmt.Fprintf(env.events, "ts=%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 }
 
-// link starts a link to the target and returns it with its address.
-func (env *testEnv) link(target string) (*standin.Link, string) {
+// link starts a link and returns it with its address.
+func (env *testEnv) link(l *standin.Link) (*standin.Link, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		env.t.Fatal(err)
 	}
-	l := standin.NewLink(target)
 	go l.Serve(env.ctx, listener)
 	return l, listener.Addr().String()
 }
 
-// addServer registers a new backend server.
+// newServer starts a backend server of the service.
+func (env *testEnv) newServer(id, service string) *backendServer {
+	b := &backendServer{Server: platformtest.NewServer(env.t, id), service: service, state: "ready"}
+	b.SetWork(func(id string) platformtest.Work { return env.work(id, service) })
+	b.link, b.Address = env.link(standin.NewLink(b.Address))
+	return b
+}
+
+// work returns the work for a request, which depends on the seed and the request's ID.
+func (env *testEnv) work(id, service string) platformtest.Work {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	random := rand.New(rand.NewPCG(uint64(env.seed), hash.Sum64()))
+	work := platformtest.Work{ProcessingTime: processingTime}
+	if random.Float64() < longBodyShare {
+		work.BodySize = minLongBody + random.IntN(maxLongBody-minLongBody)
+	}
+	if service == slowService {
+		longest := shortSlowTime
+		if random.Float64() < longSlowShare {
+			longest = longSlowTime
+		}
+		work.ProcessingTime = time.Duration(random.Float64() * float64(longest))
+	}
+	return work
+}
+
+// addServer registers a new backend server of service.
 func (env *testEnv) addServer() {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	b := &backendServer{Server: platformtest.NewServer(env.t, fmt.Sprintf("i-%d", len(env.servers))), state: "ready"}
-	b.SetProcessingTime(processingTime)
-	b.link, b.Address = env.link(b.Address)
+	b := env.newServer(fmt.Sprintf("i-%d", len(env.servers)), service)
 	env.servers = append(env.servers, b)
 	env.register(b)
 }
@@ -133,14 +177,14 @@
 // register writes the server's record to the store. The caller holds env.mu.
 func (env *testEnv) register(b *backendServer) {
 	b.sequence++
-	env.store.Put(platform.ServersPrefix+b.ID, b.Record(service, b.state, b.sequence))
+	env.store.Put(platform.ServersPrefix+b.ID, b.Record(b.service, b.state, b.sequence))
 }
 
 // writeHeartbeats renews the servers' records periodically.
 func (env *testEnv) writeHeartbeats() {
 	for env.ctx.Err() == nil {
 		env.mu.Lock()
-		for _, b := range env.servers {
+		for _, b := range slices.Concat(env.servers, env.slowServers) {
 			if b.state != "gone" {
 				env.register(b)
 			}
@@ -162,6 +206,8 @@
 		Routes: []platformtest.Route{
 			{Name: "read", Prefix: "/read/", Kind: "safe", Timeout: routeTimeout.String(), Service: service, MaxAttempts: maxAttempts},
 			{Name: "order", Prefix: "/order/", Kind: "unsafe", Timeout: routeTimeout.String(), Service: service, MaxAttempts: maxAttempts},
+			{Name: "slow-read", Prefix: "/slow-read/", Kind: "safe", Timeout: slowTimeout.String(), Service: slowService, MaxAttempts: maxAttempts},
+			{Name: "slow-order", Prefix: "/slow-order/", Kind: "unsafe", Timeout: slowTimeout.String(), Service: slowService, MaxAttempts: maxAttempts},
 		},
 		Accounts: []platformtest.Account{
 			{Name: "steady", Keys: []string{"steady"}}, {Name: "turning", Keys: []string{key}},
@@ -174,12 +220,13 @@
 
 // vm is the gateway process of one VM, with links from callers and to the store.
 type vm struct {
-	env            *testEnv
-	name           string
-	settings       string
-	readyURL       string
-	callerAddress  string // HOST:PORT of the link callers
-	callers, store *standin.Link
+	env                   *testEnv
+	name                  string
+	settings              string
+	readyURL              string
+	callers, slowLink     *standin.Link // from callers; slowLink is a slow one
+	callersAddr, slowAddr string        // HOST:PORT of the links from callers
+	store                 *standin.Link
 
 	settingsMu sync.Mutex // held while the settings file is invalid, and by start
 
@@ -198,8 +245,10 @@
 func (env *testEnv) newVM(name, store string, ports []int) *vm {
 	v := &vm{env: env, name: name, settings: filepath.Join(env.dir, name+".settings")}
 	var storeAddress string
-	v.store, storeAddress = env.link(store)
-	v.callers, v.callerAddress = env.link(fmt.Sprintf("127.0.0.1:%d", ports[0]))
+	v.store, storeAddress = env.link(standin.NewLink(store))
+	callerPort := fmt.Sprintf("127.0.0.1:%d", ports[0])
+	v.callers, v.callersAddr = env.link(standin.NewLink(callerPort))
+	v.slowLink, v.slowAddr = env.link(standin.NewSlowLink(callerPort))
 	v.readyURL = fmt.Sprintf("http://127.0.0.1:%d%s", ports[1], platform.ReadyPath)
 	text := platformtest.VM{Name: name, IP: "127.0.0.1", CallerPort: ports[0], ReadyPort: ports[1], FleetPort: ports[2], StoreAddress: storeAddress, Bounds: bounds}.Settings()
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -169,23 +169,29 @@
 	{CutForward: true}, {CutBackward: true}, {CutForward: true, CutBackward: true}, {Delay: 300 * time.Millisecond}, {SilenceOld: true}, {ResetOld: true},
 }
 
-// impairLink injects faults into a link; name is the VM or the server behind it.
-func (env *testEnv) impairLink(l *standin.Link, name string, p faultParams) {
+// impairLinks injects faults into links; name is the VM or the server behind them.
+func (env *testEnv) impairLinks(name string, p faultParams, links ...*standin.Link) {
 	defer env.beginDisturbance(name)()
 	faults := linkFaults[p.variant%len(linkFaults)]
 	env.logEvent("event=link what=%q faults=\"%+v\" for=%v", name, faults, p.duration)
-	l.SetFaults(faults)
+	for _, l := range links {
+		l.SetFaults(faults)
+	}
 	time.Sleep(p.duration)
-	l.SetFaults(standin.LinkFaults{ResetOld: faults.Delay == 0}) // all faults but a delay lose bytes of open connections, so these are reset
+	for _, l := range links {
+		l.SetFaults(standin.LinkFaults{ResetOld: faults.Delay == 0}) // all faults but a delay lose bytes of open connections, so these are reset
+	}
 }
 
-func impairStoreLink(env *testEnv, p faultParams) { env.impairLink(p.vm.store, p.vm.name, p) }
+func impairStoreLink(env *testEnv, p faultParams) { env.impairLinks(p.vm.name, p, p.vm.store) }
 
-func impairCallerLink(env *testEnv, p faultParams) { env.impairLink(p.vm.callers, p.vm.name, p) }
+func impairCallerLink(env *testEnv, p faultParams) {
+	env.impairLinks(p.vm.name, p, p.vm.callers, p.vm.slowLink)
+}
 
 func impairServerLink(env *testEnv, p faultParams) {
 	if b := env.backendServer(p.serverIndex); b != nil {
-		env.impairLink(b.link, b.ID, p)
+		env.impairLinks(b.ID, p, b.link)
 	}
 }
 
