soak: a check of lost requests as strict as the users' rule

The soak allowed three lost responses a run, counted only requests that a server ran on a connection used before, and did not know stops as planned work; the users' rule counts a single request. A request that ends beside SIGTERM, SIGHUP or a new configuration is now a violation if the VM had read it and no complete response came, or if a stop replaced a response by the VM's own. All bounds and exceptions are those of the rule, with one difference: beside a configuration one cut counts by itself, not only if the VM cuts three times as often then, because an undisturbed VM of the soak has no other reason to cut. The general limit of three stays for all else, and now counts requests that a server received, also if it did not run them.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -36,8 +36,10 @@
 	version        int           // of the configuration that contains the key; 0 for a key that every version contains
 	safe           bool
 	connected      bool // the request was sent on a connection that had been used before
+	refused        bool // the VM did not accept the connection, although the link did
 	cancelled      bool // the caller closes its connection cancelAfter the request was sent
 	sentAt, doneAt time.Time
+	writtenAt      time.Time // when the last byte was sent; zero if not all were
 	reply          platformtest.Reply
 	err            error
 }
@@ -148,7 +150,8 @@
 		defer timer.Stop()
 	}
 	c.reply, c.err = connection.Do(c.Call)
-	c.doneAt = time.Now()
+	c.doneAt, c.writtenAt = time.Now(), connection.SentAt()
+	c.refused = c.vm.callers.Refused(connection.LocalAddr()) || c.vm.slowLink.Refused(connection.LocalAddr())
 	env.mu.Lock()
 	env.calls = append(env.calls, c)
 	env.mu.Unlock()
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -61,12 +61,14 @@
 		if len(seen.runs[c.ID]) > maxAttempts {
 			counts["BUDGET"]++
 		}
+		env.checkPlannedWork(c, seen)
 		if env.isResponseLost(c, seen) {
 			counts["LOST"]++
 			env.logEvent("event=lost request=%s vm=%s err=%q", c.ID, c.vm.name, c.err)
 		}
 		counts["responses"] += len(c.reply.Signature)
 	}
+	env.t.Logf("requests checked beside planned work: %v", env.plannedRequests)
 	for _, rule := range []string{"GONE", "BUDGET", "LOST"} {
 		if counts[rule] > maxViolations {
 			env.t.Errorf("%s: %d requests violate the rule; see the events file", rule, counts[rule])
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -60,13 +60,14 @@
 	vms    []*vm
 	stalls stallMeter
 
-	mu           sync.Mutex
-	servers      []*backendServer // of service, including those that are gone
-	slowServers  []*backendServer // of slowService
-	versions     []configVersion  // of the configuration; version N has index N-1
-	disturbances map[string][]period
-	calls        []*call
-	events       *os.File
+	mu              sync.Mutex
+	servers         []*backendServer // of service, including those that are gone
+	slowServers     []*backendServer // of slowService
+	versions        []configVersion  // of the configuration; version N has index N-1
+	disturbances    map[string][]period
+	calls           []*call
+	plannedRequests map[string]int // requests that checkPlannedWork checked, by kind of work
+	events          *os.File
 }
 
 // backendServer is a fake backend server with a link in front of it.
@@ -92,7 +93,7 @@
 	t.Helper()
 	env := &testEnv{
 		t: t, dir: t.TempDir(), seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), ctx: t.Context(),
-		store: platformtest.NewStore(), disturbances: map[string][]period{},
+		store: platformtest.NewStore(), disturbances: map[string][]period{}, plannedRequests: map[string]int{},
 	}
 	var err error
 	if env.events, err = os.Create(filepath.Join(env.dir, "events")); err != nil {
@@ -236,6 +237,14 @@
 	done     chan struct{}
 	starts   int
 	stopping bool // the process was signalled to end
+	signals  []sentSignal
+}
+
+// sentSignal is a signal that was sent to a VM's process.
+type sentSignal struct {
+	os.Signal
+	at          time.Time
+	incarnation int
 }
 
 // portsPerVM is the number of ports of a VM: for callers, for the load balancer's
@@ -302,6 +311,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.stopping = v.stopping || ends
+	v.signals = append(v.signals, sentSignal{s, time.Now(), v.starts})
 	v.env.logEvent("event=signal vm=%s signal=%q", v.name, s)
 	_ = v.process.Process.Signal(s) // fails only if the process has ended, which wait reports
 	return v.done
