soak: stops in series and overlapping, while callers go on

The callers ended before the last stops, and terminateAllVMs stopped one VM after the other, so that at most one VM was stopping at a time and mostly beside disturbances that excuse a loss. The last stops now come while callers use their connections until the process is gone, at once or within 2 s of each other; most seeds restart VMs in series before. Stops of the fault phase overlap, and SIGTERM, SIGHUP or a configuration follows during a stop. In half of the seeds new connections go to ready VMs only, as with the users' balancer; in the others a stopping VM gets requests until its end, and so never becomes quiet. checkRecovery runs beside the callers, on all VMs at a time. The seed's draws of the fault phase are as before.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -22,6 +22,8 @@
 	cancelShare      = 0.02                  // share of calls that the caller cancels
 	uploadSize       = 40 << 10              // bytes; more than a socket buffer may accept at once
 	previousKeyShare = 0.3                   // share of calls of the account "turning" that use the previous version's key
+	probeInterval    = time.Second           // between two probes of a VM by the balancer
+	maxMisses        = 2                     // failed probes in a row, after which a VM gets no new connections
 	cancelAfter      = 20 * time.Millisecond // time from sending a request to its cancellation
 )
 
@@ -81,6 +83,10 @@
 		}
 		v := env.vms[random.IntN(len(env.vms))]
 		connection := connections[v]
+		if connection == nil {
+			v = env.balance(random, v)
+			connection = connections[v]
+		}
 		c := env.newCall(random, fmt.Sprintf("c%d-%d", caller, n), v)
 		if caller >= callerCount {
 			c = newSlowCall(random, c.ID, v)
@@ -105,6 +111,36 @@
 	}
 }
 
+// balance returns the VM that the balancer selects for a new connection. Without a
+// balancer it is the given one.
+func (env *testEnv) balance(random *rand.Rand, v *vm) *vm {
+	if !env.balanced {
+		return v
+	}
+	var available []*vm
+	for _, v := range env.vms {
+		if v.misses.Load() < maxMisses {
+			available = append(available, v)
+		}
+	}
+	if 2*len(available) < len(env.vms) {
+		available = env.vms
+	}
+	return available[random.IntN(len(available))]
+}
+
+// probe asks the VM periodically whether it is ready, as the users' balancer does.
+func (v *vm) probe() {
+	for v.env.ctx.Err() == nil {
+		if v.isReady() {
+			v.misses.Store(0)
+		} else {
+			v.misses.Add(1)
+		}
+		time.Sleep(probeInterval)
+	}
+}
+
 func (env *testEnv) newCall(random *rand.Rand, id string, v *vm) *call {
 	c := newOrder(id, v)
 	switch draw := random.Float64(); {
@@ -160,24 +196,30 @@
 
 // checkRecovery checks that every VM serves requests after all faults have ended.
 func (env *testEnv) checkRecovery() {
-	const requestsPerVM = 20
+	var all sync.WaitGroup
 	for _, v := range env.vms {
-		served := 0
-		for n := range requestsPerVM {
-			connection, err := platformtest.Dial(v.callersAddr, dialTimeout)
-			if err != nil {
-				env.t.Errorf("RECOVER: %s does not accept connections: %v", v.name, err)
-				break
-			}
-			c := newOrder(fmt.Sprintf("after-%s-%d", v.name, n), v)
-			env.send(connection, c, false)
-			connection.Close()
-			if c.err == nil && c.reply.Status == http.StatusOK {
-				served++
-			}
+		all.Go(func() { env.checkVMRecovery(v) })
+	}
+	all.Wait()
+}
+
+func (env *testEnv) checkVMRecovery(v *vm) {
+	const requests = 20
+	served := 0
+	for n := range requests {
+		connection, err := platformtest.Dial(v.callersAddr, dialTimeout)
+		if err != nil {
+			env.t.Errorf("RECOVER: %s does not accept connections: %v", v.name, err)
+			break
 		}
-		if served < requestsPerVM {
-			env.t.Errorf("RECOVER: %s served %d of %d requests after all faults had ended", v.name, served, requestsPerVM)
+		c := newOrder(fmt.Sprintf("after-%s-%d", v.name, n), v)
+		env.send(connection, c, false)
+		connection.Close()
+		if c.err == nil && c.reply.Status == http.StatusOK {
+			served++
 		}
 	}
+	if served < requests {
+		env.t.Errorf("RECOVER: %s served %d of %d requests after all faults had ended", v.name, served, requests)
+	}
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -68,7 +68,7 @@
 		}
 		counts["responses"] += len(c.reply.Signature)
 	}
-	env.t.Logf("requests checked beside planned work: %v", env.plannedRequests)
+	env.t.Logf("requests checked beside planned work: %v; balanced: %t", env.plannedRequests, env.balanced)
 	for _, rule := range []string{"GONE", "BUDGET", "LOST"} {
 		if counts[rule] > maxViolations {
 			env.t.Errorf("%s: %d requests violate the rule; see the events file", rule, counts[rule])
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,6 +10,12 @@
 //	go test ./soak                            one short run, as in CI
 //	go test ./soak -soak.runs 50 -soak.first 1000 -soak.span 15s
 //
+// Requests that end beside planned work (SIGTERM, SIGHUP, a new configuration) are held
+// to the users' rule, which allows no loss: see checkPlannedWork. The faults are followed
+// by stops of all VMs while callers go on. So that stops find requests at servers, in
+// queues and half delivered, some callers use a service with few slots and processing
+// times up to seconds, and some use slow links.
+//
 // Messages between VMs are not routed through a link: network partitions between
 // VMs are tested on the users' bench. There are no clock and disk faults, because
 // the gateway uses the clock only to measure durations and writes no files.
--- a/soak/env_test.go
+++ b/soak/env_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,14 +52,16 @@
 
 // testEnv is one run: a fleet, the fakes around it and the calls of its callers.
 type testEnv struct {
-	t      *testing.T
-	dir    string
-	seed   int64
-	random *rand.Rand // draws the faults
-	ctx    context.Context
-	store  *platformtest.Store
-	vms    []*vm
-	stalls stallMeter
+	t        *testing.T
+	dir      string
+	seed     int64
+	random   *rand.Rand // draws the faults
+	stops    *rand.Rand // draws the stops that follow the faults
+	balanced bool       // new connections go to VMs that are ready; otherwise to any, so that a stopping VM never stops getting requests
+	ctx      context.Context
+	store    *platformtest.Store
+	vms      []*vm
+	stalls   stallMeter
 
 	mu              sync.Mutex
 	servers         []*backendServer // of service, including those that are gone
@@ -92,7 +95,7 @@
 func newTestEnv(t *testing.T, seed int64) *testEnv {
 	t.Helper()
 	env := &testEnv{
-		t: t, dir: t.TempDir(), seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), ctx: t.Context(),
+		t: t, dir: t.TempDir(), seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), stops: rand.New(rand.NewPCG(uint64(seed), 3)), ctx: t.Context(),
 		store: platformtest.NewStore(), disturbances: map[string][]period{}, plannedRequests: map[string]int{},
 	}
 	var err error
@@ -117,8 +120,10 @@
 	for i := range *vmCount {
 		env.vms = append(env.vms, env.newVM(fmt.Sprintf("vm-%d", i+1), strings.TrimPrefix(store.URL, "http://"), ports[i*portsPerVM:]))
 	}
+	env.balanced = env.stops.IntN(2) == 0
 	for _, v := range env.vms {
 		v.start()
+		go v.probe()
 	}
 	t.Cleanup(env.killRemaining)
 	return env
@@ -229,7 +234,8 @@
 	callersAddr, slowAddr string        // HOST:PORT of the links from callers
 	store                 *standin.Link
 
-	settingsMu sync.Mutex // held while the settings file is invalid, and by start
+	misses     atomic.Int32 // failed probes since the last successful one
+	settingsMu sync.Mutex   // held while the settings file is invalid, and by start
 
 	mu       sync.Mutex
 	started  time.Time
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -17,6 +17,7 @@
 	maxMeanInterval  = 1500 * time.Millisecond
 	maxFaultDuration = 3 * time.Second         // longest duration drawn for a fault; restarts and drains take longer
 	burstSize        = 4                       // configurations written in quick succession
+	maxStopDelay     = 2 * time.Second         // longest time between the stops of VMs that are stopped in series
 	removalDelay     = 2500 * time.Millisecond // time from a server's draining record until the record is removed
 	settingsReadTime = time.Second             // a process has read its settings by this time after its start
 )
@@ -87,15 +88,34 @@
 	all.Wait()
 }
 
+// terminateVM restarts the process with SIGTERM. Depending on the variant, another
+// signal or a configuration follows while the process stops.
 func terminateVM(env *testEnv, p faultParams) {
 	defer env.beginDisturbance(p.vm.name + " stops")()
+	stopped := p.vm.incarnation()
+	follow := time.AfterFunc(p.duration, func() {
+		switch {
+		case p.variant%4 == 2:
+			env.configure()
+		case p.vm.incarnation() != stopped: // another fault has replaced the process
+		case p.variant%4 == 0:
+			p.vm.signal(syscall.SIGTERM, false)
+		case p.variant%4 == 1:
+			p.vm.signal(syscall.SIGHUP, false)
+		}
+	})
+	defer follow.Stop()
 	p.vm.restart(syscall.SIGTERM, p.duration/2)
 }
 
+// terminateAllVMs restarts all VMs one after the other, so that their stops overlap.
 func terminateAllVMs(env *testEnv, p faultParams) {
-	for _, v := range env.vms {
-		terminateVM(env, faultParams{vm: v, duration: p.duration / 4})
+	var all sync.WaitGroup
+	for i, v := range env.vms {
+		all.Go(func() { terminateVM(env, faultParams{vm: v, duration: p.duration, variant: p.variant + i}) })
+		time.Sleep(p.duration / 4)
 	}
+	all.Wait()
 }
 
 // restart ends the process and starts it again after a pause. If another fault is
@@ -294,11 +314,35 @@
 	env.waitReady()
 }
 
-// stopVMs ends all VMs' processes with SIGTERM.
+// restartInSeries restarts VMs with SIGTERM, at times drawn from the seed, so that their
+// stops overlap: all, or with a balancer only so many that it uses the others.
+func (env *testEnv) restartInSeries() {
+	order := env.stops.Perm(len(env.vms))
+	if env.balanced {
+		order = order[:len(order)/2]
+	}
+	var all sync.WaitGroup
+	for _, i := range order {
+		after := time.Duration(env.stops.Float64() * float64(maxStopDelay))
+		p := faultParams{vm: env.vms[i], duration: maxStopDelay / 2, variant: env.stops.IntN(4)}
+		all.Go(func() {
+			time.Sleep(after)
+			terminateVM(env, p)
+		})
+	}
+	all.Wait()
+	env.waitReady()
+}
+
+// stopVMs ends all VMs' processes with SIGTERM, at the same time or one after the other.
 func (env *testEnv) stopVMs() {
+	spread := time.Duration(env.stops.IntN(2)) * maxStopDelay
 	var all sync.WaitGroup
 	for _, v := range env.vms {
+		after := time.Duration(env.stops.Float64() * float64(spread))
 		all.Go(func() {
+			time.Sleep(after)
+			defer env.beginDisturbance(v.name + " stops")()
 			select {
 			case <-v.signal(syscall.SIGTERM, true):
 			case <-time.After(bounds.GracePeriod):
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,9 +81,12 @@
 	env.injectFaults(faultTime)
 	env.awaitRecovery()
 	time.Sleep(recoveryTime)
-	callers.stop()
 	env.checkRecovery()
+	if env.balanced || env.stops.IntN(2) == 0 {
+		env.restartInSeries()
+	}
 	env.stopVMs()
+	callers.stop()
 	env.check()
 }
 
