--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -17,6 +17,7 @@
 	maxMeanInterval  = 1500 * time.Millisecond
 	maxFaultDuration = 3 * time.Second         // longest duration drawn for a fault; restarts and drains take longer
 	burstSize        = 4                       // configurations written in quick succession
+	maxStopDelay     = 2 * time.Second         // longest time between the stops of VMs that are stopped in series
 	removalDelay     = 2500 * time.Millisecond // time from a server's draining record until the record is removed
 	settingsReadTime = time.Second             // a process has read its settings by this time after its start
 )
@@ -87,15 +88,34 @@
 	all.Wait()
 }
 
+// terminateVM restarts the process with SIGTERM. Depending on the variant, another
+// signal or a configuration follows while the process stops.
 func terminateVM(env *testEnv, p faultParams) {
 	defer env.beginDisturbance(p.vm.name + " stops")()
+	stopped := p.vm.incarnation()
+	follow := time.AfterFunc(p.duration, func() {
+		switch {
+		case p.variant%4 == 2:
+			env.configure()
+		case p.vm.incarnation() != stopped: // another fault has replaced the process
+		case p.variant%4 == 0:
+			p.vm.signal(syscall.SIGTERM, false)
+		case p.variant%4 == 1:
+			p.vm.signal(syscall.SIGHUP, false)
+		}
+	})
+	defer follow.Stop()
 	p.vm.restart(syscall.SIGTERM, p.duration/2)
 }
 
+// terminateAllVMs restarts all VMs one after the other, so that their stops overlap.
 func terminateAllVMs(env *testEnv, p faultParams) {
-	for _, v := range env.vms {
-		terminateVM(env, faultParams{vm: v, duration: p.duration / 4})
+	var all sync.WaitGroup
+	for i, v := range env.vms {
+		all.Go(func() { terminateVM(env, faultParams{vm: v, duration: p.duration, variant: p.variant + i}) })
+		time.Sleep(p.duration / 4)
 	}
+	all.Wait()
 }
 
 // restart ends the process and starts it again after a pause. If another fault is
@@ -169,23 +189,29 @@
 	{CutForward: true}, {CutBackward: true}, {CutForward: true, CutBackward: true}, {Delay: 300 * time.Millisecond}, {SilenceOld: true}, {ResetOld: true},
 }
 
-// impairLink injects faults into a link; name is the VM or the server behind it.
-func (env *testEnv) impairLink(l *standin.Link, name string, p faultParams) {
+// impairLinks injects faults into links; name is the VM or the server behind them.
+func (env *testEnv) impairLinks(name string, p faultParams, links ...*standin.Link) {
 	defer env.beginDisturbance(name)()
 	faults := linkFaults[p.variant%len(linkFaults)]
 	env.logEvent("event=link what=%q faults=\"%+v\" for=%v", name, faults, p.duration)
-	l.SetFaults(faults)
+	for _, l := range links {
+		l.SetFaults(faults)
+	}
 	time.Sleep(p.duration)
-	l.SetFaults(standin.LinkFaults{ResetOld: faults.Delay == 0}) // all faults but a delay lose bytes of open connections, so these are reset
+	for _, l := range links {
+		l.SetFaults(standin.LinkFaults{ResetOld: faults.Delay == 0}) // all faults but a delay lose bytes of open connections, so these are reset
+	}
 }
 
-func impairStoreLink(env *testEnv, p faultParams) { env.impairLink(p.vm.store, p.vm.name, p) }
+func impairStoreLink(env *testEnv, p faultParams) { env.impairLinks(p.vm.name, p, p.vm.store) }
 
-func impairCallerLink(env *testEnv, p faultParams) { env.impairLink(p.vm.callers, p.vm.name, p) }
+func impairCallerLink(env *testEnv, p faultParams) {
+	env.impairLinks(p.vm.name, p, p.vm.callers, p.vm.slowLink)
+}
 
 func impairServerLink(env *testEnv, p faultParams) {
 	if b := env.backendServer(p.serverIndex); b != nil {
-		env.impairLink(b.link, b.ID, p)
+		env.impairLinks(b.ID, p, b.link)
 	}
 }
 
@@ -288,11 +314,35 @@
 	env.waitReady()
 }
 
-// stopVMs ends all VMs' processes with SIGTERM.
+// restartInSeries restarts VMs with SIGTERM, at times drawn from the seed, so that their
+// stops overlap: all, or with a balancer only so many that it uses the others.
+func (env *testEnv) restartInSeries() {
+	order := env.stops.Perm(len(env.vms))
+	if env.balanced {
+		order = order[:len(order)/2]
+	}
+	var all sync.WaitGroup
+	for _, i := range order {
+		after := time.Duration(env.stops.Float64() * float64(maxStopDelay))
+		p := faultParams{vm: env.vms[i], duration: maxStopDelay / 2, variant: env.stops.IntN(4)}
+		all.Go(func() {
+			time.Sleep(after)
+			terminateVM(env, p)
+		})
+	}
+	all.Wait()
+	env.waitReady()
+}
+
+// stopVMs ends all VMs' processes with SIGTERM, at the same time or one after the other.
 func (env *testEnv) stopVMs() {
+	spread := time.Duration(env.stops.IntN(2)) * maxStopDelay
 	var all sync.WaitGroup
 	for _, v := range env.vms {
+		after := time.Duration(env.stops.Float64() * float64(spread))
 		all.Go(func() {
+			time.Sleep(after)
+			defer env.beginDisturbance(v.name + " stops")()
 			select {
 			case <-v.signal(syscall.SIGTERM, true):
 			case <-time.After(bounds.GracePeriod):
