gateway: a stop accepts requests for 3 s at most, however long the grace period is

Change: 3 s or half of the grace period, whichever is less, less the margin. Evidence: TestShutdownScheduleLeavesTimeForWhatItAccepts failed for 10 s (accept 4.75 s) and 60 s, passes.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	acceptShare        = 1.0 / 2                // of the grace period, in which requests are accepted; operators expect that those sent in its first half are served
+	acceptTime         = 3 * time.Second        // from the start of a shutdown, in which requests are accepted; the balancer has removed the VM by then, and operators excuse no loss of later ones
+	acceptShare        = 1.0 / 2                // of the grace period, if that is less than acceptTime
 	placeShare         = 2.0 / 3                // of the grace period, in which requests are sent to servers; few servers take longer than the rest of it
 	acceptMargin       = 250 * time.Millisecond // a busy VM may learn this late of its shutdown
 	serveMargin        = 300 * time.Millisecond // between the end of the last request and SIGKILL; its answer is written meanwhile
@@ -33,7 +34,7 @@
 	share := func(of float64) time.Duration { return time.Duration(of * float64(gracePeriod)) }
 	maxMargin := share(maxMarginShare)
 	return &shutdownSchedule{
-		accept: share(acceptShare) - min(acceptMargin, maxMargin),
+		accept: min(acceptTime, share(acceptShare)) - min(acceptMargin, maxMargin),
 		place:  share(placeShare),
 		serve:  gracePeriod - min(serveMargin, maxMargin),
 		exit:   gracePeriod - min(exitMargin, maxMargin/3),
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -279,12 +279,14 @@
 	}
 }
 
-// Load: requests that arrive during the whole grace period. Operators expect that those sent
-// in its first half are served, unless their servers still work in its last sixth.
+// Load: requests that arrive during the whole grace period. Operators count each one that is
+// accepted and not served, unless it was sent within 3 s and its server still works in the
+// last sixth of the grace period.
 func TestShutdownScheduleLeavesTimeForWhatItAccepts(t *testing.T) {
-	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 4 * time.Second, 6 * time.Second, time.Minute} {
+	const excusable = 3 * time.Second
+	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		s := newShutdownSchedule(grace)
-		if s.accept <= 0 || s.accept >= grace/2 || s.place <= s.accept || s.serve <= s.place || s.serve < grace*5/6 || s.exit <= s.serve || s.exit >= grace {
+		if s.accept <= 0 || s.accept >= min(excusable, grace/2) || s.place <= s.accept || s.serve <= s.place || s.serve < grace*5/6 || s.exit <= s.serve || s.exit >= grace {
 			t.Errorf("grace period %v: %+v", grace, s)
 		}
 	}
