daemon, entry: the connections of callers are tracked in package daemon

Callers see no change. The listener, connections and tracking that let a stop of the entry answer the requests that have reached the VM move to daemon.CallerServer, so that the gateway can use them. The tests' listeners of a busy VM move to sockets/socketstest; the tests' checks are unchanged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,6 @@
 
 	authority       *authority
 	inFlight        *inFlight
-	callerConns     *callerConns
 	stopping        atomic.Bool
 	reportRequested chan struct{}
 }
@@ -61,7 +60,7 @@
 		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers, settler: settler,
 		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
-		authority: &authority{}, inFlight: newInFlight(), callerConns: newCallerConns(), reportRequested: make(chan struct{}, 1),
+		authority: &authority{}, inFlight: newInFlight(), reportRequested: make(chan struct{}, 1),
 	}
 	e.currentSnapshot.Store(&wire.Snapshot{})
 	metrics.GetOrCreateGauge("lacewing_in_flight_requests", func() float64 { return float64(e.inFlight.count()) })
@@ -111,7 +110,6 @@
 func newServer(e *Entry) *http.Server {
 	return &http.Server{
 		Handler:           e,
-		ConnState:         e.callerConns.trackState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"time"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/timeline"
 )
 
@@ -14,22 +13,19 @@
 // shutdown reports not ready, accepts connections for DrainDelay so that the load balancer
 // can react, and then waits for all requests in flight and for the settlement of their
 // claims. From the start, responses have the header Connection: close.
-func (e *Entry) shutdown(server *callerServer) error {
+func (e *Entry) shutdown(server *daemon.CallerServer) error {
 	e.stopping.Store(true)
 	e.updateReady()
 	e.requestReport()
 	e.events.Add(timeline.Event{Kind: timeline.KindStopping})
 	e.log.Info("stopping")
 	time.Sleep(e.settings.DrainDelay.Std())
-	server.stopAccepting()
+	server.StopAccepting(context.Background())
 	e.events.Add(timeline.Event{Kind: timeline.KindDrainWait})
-	for !e.callerConns.quiesced(time.Now()) {
+	for !server.Quiesced(time.Now()) {
 		time.Sleep(stopPollPeriod)
 	}
-	err := server.http.Shutdown(context.Background())
-	if errors.Is(err, net.ErrClosed) {
-		err = nil // the listener was closed above
-	}
+	err := server.Shutdown(context.Background())
 	e.settler.wait() // the agent may stop once the entry has stopped
 	e.events.Add(timeline.Event{Kind: timeline.KindStopped})
 	e.log.Info("stopped")
--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -7,19 +7,18 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/keys"
-	"lacewingmount.dev/sockets"
+	"lacewingmount.dev/sockets/socketstest"
 )
 
 // stoppableEntry is an entry that serves callers on a listener until it is stopped.
 type stoppableEntry struct {
 	*harness
-	server  *callerServer
+	server  *daemon.CallerServer
 	stopped chan struct{} // closed when the entry has stopped
 }
 
@@ -48,7 +47,7 @@
 	go func() {
 		defer close(s.stopped)
 		_ = s.entry.shutdown(s.server)
-		_ = s.server.http.Close()
+		_ = s.server.Close()
 	}()
 }
 
@@ -60,7 +59,7 @@
 
 func (s *stoppableEntry) dial(t *testing.T) *testCaller {
 	t.Helper()
-	conn, err := net.Dial("tcp", s.server.listener.Addr().String())
+	conn, err := net.Dial("tcp", s.server.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -162,53 +161,11 @@
 	<-s.stopped
 }
 
-// busyConn is a connection whose reads return late, as on a busy VM. Without a read deadline
-// in the past, a read waits for data and then for delay.
-type busyConn struct {
-	*net.TCPConn
-	delay    time.Duration
-	deadline atomic.Int64 // Unix nanoseconds, 0 for none
-}
-
-func (c *busyConn) SetReadDeadline(at time.Time) error {
-	nanos := int64(0)
-	if !at.IsZero() {
-		nanos = at.UnixNano()
-	}
-	c.deadline.Store(nanos)
-	return c.TCPConn.SetReadDeadline(at)
-}
-
-func (c *busyConn) Read(p []byte) (int, error) {
-	for sockets.Peek(c.TCPConn) == sockets.NoData {
-		if at := c.deadline.Load(); at != 0 && time.Now().UnixNano() >= at {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	time.Sleep(c.delay)
-	return c.TCPConn.Read(p)
-}
-
-// busyListener accepts connections whose reads return late.
-type busyListener struct {
-	*net.TCPListener
-	readDelay time.Duration
-}
-
-func (l *busyListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-	return &busyConn{TCPConn: conn, delay: l.readDelay}, nil
-}
-
 // TestProofShutdownAnswersRequestsThatAreNotReadYet checks that a request that waits in the
 // socket of an idle connection is answered, on a VM that is busy for half a second.
 func TestProofShutdownAnswersRequestsThatAreNotReadYet(t *testing.T) {
 	s := newStoppableEntry(t, alwaysRespond(okResponse), func(l *net.TCPListener) net.Listener {
-		return &busyListener{TCPListener: l, readDelay: 500 * time.Millisecond}
+		return &socketstest.BusyListener{TCPListener: l, ReadDelay: 500 * time.Millisecond}
 	})
 	caller := s.dial(t)
 	caller.send(t, "/read")
@@ -226,20 +183,20 @@
 func TestProofShutdownAnswersConnectionsThatAreNotServedYet(t *testing.T) {
 	for position, name := range []string{"accepted", "in the queue of the listener"} {
 		t.Run(name, func(t *testing.T) {
-			var busy *lateListener
+			var late *socketstest.LateListener
 			s := newStoppableEntry(t, alwaysRespond(okResponse), func(l *net.TCPListener) net.Listener {
-				busy = &lateListener{TCPListener: l, resume: make(chan struct{}), exited: make(chan struct{})}
-				return busy
+				late = socketstest.NewLateListener(l)
+				return late
 			})
 			callers := []*testCaller{s.dial(t), s.dial(t)}
 			callers[position].send(t, "/read")
 			s.stop()
 			go func() {
 				<-s.stopped
-				close(busy.exited)
+				close(late.Exited)
 			}()
 			time.Sleep(testDrainDelay + 500*time.Millisecond)
-			close(busy.resume)
+			close(late.Resume)
 			callers[position].wantLastAnswer(t)
 			_ = callers[1-position].conn.Close()
 			<-s.stopped
@@ -247,29 +204,6 @@
 	}
 }
 
-// lateListener holds the first connection it accepts, and does not accept others, until
-// resume is closed.
-type lateListener struct {
-	*net.TCPListener
-	resume chan struct{}
-	exited chan struct{} // closed when the process would have ended
-}
-
-func (l *lateListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	<-l.resume
-	select {
-	case <-l.exited:
-		_ = conn.Close()
-		return nil, net.ErrClosed
-	default:
-		return conn, nil
-	}
-}
-
 // TestProofShutdownAnswersRequestsThatArriveInPieces checks that a connection is not closed
 // while the header of a request arrives on it.
 func TestProofShutdownAnswersRequestsThatArriveInPieces(t *testing.T) {
--- a/entry/shutdown_proof_test.go
+++ b/entry/shutdown_proof_test.go
@@ -21,7 +21,7 @@
 // stopUnderLoad starts an entry and callers that keep their connections until a response
 // tells them to close. It stops the entry with stop and returns the number of requests
 // sent and the number of those without a complete response.
-func stopUnderLoad(t *testing.T, stop func(e *Entry, server *callerServer)) (sent, incomplete int) {
+func stopUnderLoad(t *testing.T, stop func(e *Entry, server *daemon.CallerServer)) (sent, incomplete int) {
 	t.Helper()
 	backend := newRawServer(t, func(c *rawConn, _ int) {
 		for c.read() != nil {
@@ -89,7 +89,7 @@
 }
 
 func TestProofShutdownTearsNoRequestOfConnectedCallers(t *testing.T) {
-	sent, incomplete := stopUnderLoad(t, func(e *Entry, server *callerServer) {
+	sent, incomplete := stopUnderLoad(t, func(e *Entry, server *daemon.CallerServer) {
 		if err := e.shutdown(server); err != nil {
 			t.Error(err)
 		}
@@ -103,7 +103,7 @@
 // TestControlShutdownClosingAtOnceTearsRequests checks that stopUnderLoad detects incomplete
 // responses: the server is closed without waiting for requests in flight.
 func TestControlShutdownClosingAtOnceTearsRequests(t *testing.T) {
-	sent, incomplete := stopUnderLoad(t, func(_ *Entry, server *callerServer) { _ = server.http.Close() })
+	sent, incomplete := stopUnderLoad(t, func(_ *Entry, server *daemon.CallerServer) { _ = server.Close() })
 	t.Logf("%d requests, %d without a complete response", sent, incomplete)
 	if incomplete == 0 {
 		t.Error("no incomplete response was detected")
--- a/entry/slow_caller_test.go
+++ b/entry/slow_caller_test.go
@@ -26,7 +26,7 @@
 		}
 		return listener
 	})
-	t.Cleanup(func() { _ = s.server.http.Close() })
+	t.Cleanup(func() { _ = s.server.Close() })
 	return s
 }
 
