gateway: a stop does not close connections with an unread or arriving request

Callers see: a request sent on an open connection while the VM stops ends with a reset or a closed connection, although the VM had received it, when it was busy for a fraction of a second or when the head of the request came in pieces. Cause: the stop closed connections 0.25 s after the last request that had reached its handler. Data in the socket, and a part of a head that net/http had read, did not count. Tests: the end of a test gives up the requests in progress instead of setting the counter of active requests to 0, which the stop no longer reads to decide; the checks are unchanged.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -98,7 +98,7 @@
 	}()
 	f.t.Cleanup(func() {
 		stop()
-		g.active.Store(0)
+		g.giveUp(errStopping)
 		<-v.done
 	})
 	return v
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -103,7 +102,7 @@
 // cannot listen on an address of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info("started", zap.Uint64("incarnation", g.self.Incarnation), zap.String("version", daemon.Version), zap.String("callers", g.settings.CallerAddress))
-	callers, err := daemon.Listen(ctx, g.settings.CallerAddress)
+	listener, err := daemon.Listen(ctx, g.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -117,12 +116,9 @@
 	if err := daemon.ServeHTTP(serving, g.self.Address, fleet); err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler: g, BaseContext: func(net.Listener) context.Context { return g.requests },
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	callers := daemon.NewCallerServer(g.newServer(), listener, quietTime)
 	go func() {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+		if err := callers.Serve(); err != nil {
 			g.log.Error("listener for callers failed; restart the VM", zap.Error(err))
 		}
 	}()
@@ -139,12 +135,20 @@
 	go g.tick(serving)
 	go g.report(serving)
 	<-ctx.Done()
-	g.shutDown(server, unregister)
+	g.shutDown(callers, unregister)
 	registered.Wait()
 	g.log.Info("stopped", zap.Int64("unfinished", g.active.Load()))
 	return nil
 }
 
+// newServer returns the HTTP server for callers.
+func (g *Gateway) newServer() *http.Server {
+	return &http.Server{
+		Handler: g, BaseContext: func(net.Listener) context.Context { return g.requests },
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Reload applies changed settings, as returned by platform.LoadSettings. Only a
 // change of the store's address takes effect; the addresses of this VM need a
 // restart. An error is logged and the settings stay as they are.
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
+
+	"lacewingmount.dev/daemon"
 )
 
 const (
@@ -37,7 +38,7 @@
 
 // shutDown waits until the balancer has removed the VM, removes the registration,
 // finishes the accepted requests and closes the connections. unregister must not block.
-func (g *Gateway) shutDown(server *http.Server, unregister func()) {
+func (g *Gateway) shutDown(callers *daemon.CallerServer, unregister func()) {
 	began := time.Now()
 	g.log.Info("stopping", zap.Int64("active", g.active.Load()))
 	g.stopping.Store(true)
@@ -53,37 +54,40 @@
 	unregister()
 	endWaits := time.AfterFunc(time.Until(began.Add(g.schedule.endWaits)), g.endWaits)
 	defer endWaits.Stop()
-	for !g.isQuiet(time.Now(), refusingSince) && time.Since(began) < g.schedule.giveUp {
+	for !g.isQuiet(callers, time.Now(), refusingSince) && time.Since(began) < g.schedule.giveUp {
 		time.Sleep(drainPollInterval)
 	}
 	if active := g.active.Load(); active > 0 {
 		g.log.Warn("requests given up: the grace period ends", zap.Int64("active", active))
 	}
 	g.giveUp(errStopping)
-	g.closeConnections(server, began.Add(g.schedule.end))
+	g.closeConnections(callers, began.Add(g.schedule.end))
 }
 
-// closeConnections closes the listener and the connections. Those on which an answer is
-// being written are closed when it is complete, or at the end.
-func (g *Gateway) closeConnections(server *http.Server, end time.Time) {
+// closeConnections closes the listener and the connections. Those on which a request arrives
+// or an answer is being written are closed when the answer is complete, or at the end.
+func (g *Gateway) closeConnections(callers *daemon.CallerServer, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := server.Shutdown(ctx); err == nil {
+	for !callers.Quiesced(time.Now()) && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+	if err := callers.Shutdown(ctx); err == nil {
 		return
 	}
 	g.log.Warn("connections closed before their answers were complete", zap.Int64("active", g.active.Load()))
-	if err := server.Close(); err != nil {
+	if err := callers.Close(); err != nil {
 		g.log.Warn("listener not closed", zap.Error(err))
 	}
 }
 
-// isQuiet reports whether no request is in progress and none has arrived for quietTime
-// since new ones are refused. Each answer closes its connection by then, so that callers
-// with open connections send no more requests.
-func (g *Gateway) isQuiet(now, refusingSince time.Time) bool {
+// isQuiet reports whether no request is in progress or arriving and none has arrived for
+// quietTime since new ones are refused. Each answer closes its connection by then, so that
+// callers with open connections send no more requests.
+func (g *Gateway) isQuiet(callers *daemon.CallerServer, now, refusingSince time.Time) bool {
 	latest := time.Unix(0, g.lastArrival.Load())
 	if latest.Before(refusingSince) {
 		latest = refusingSince
 	}
-	return g.active.Load() == 0 && now.Sub(latest) >= quietTime
+	return now.Sub(latest) >= quietTime && callers.Quiesced(now)
 }
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/platform/platformtest"
 )
 
@@ -79,6 +80,28 @@
 	}
 }
 
+// serveOn serves callers on another listener. The returned function shuts the VM down and
+// closes the connections that are left, as the end of the process does.
+func (v *vm) serveOn(listener net.Listener) (shutDown func()) {
+	server := daemon.NewCallerServer(v.newServer(), listener, quietTime)
+	go func() { _ = server.Serve() }()
+	v.callers = listener.Addr().String()
+	return func() {
+		v.shutDown(server, func() {})
+		_ = server.Close()
+	}
+}
+
+// listen opens a listener for callers.
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener.(*net.TCPListener)
+}
+
 // slowListener accepts connections whose writes take a while, as over a link whose window is full.
 type slowListener struct {
 	net.Listener
@@ -107,17 +130,11 @@
 	f.configure(defaultParameters)
 	v := f.startReady("vm-1")
 	f.servers[0].SetProcessingTime(2 * quietTime)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: v.Gateway}
-	go func() { _ = server.Serve(slowListener{listener, quietTime}) }() // ends with the shutdown
-	v.callers = listener.Addr().String()
+	shutDown := v.serveOn(slowListener{listen(t), quietTime})
 	replies := make(chan callerReply, 1)
 	go func() { replies <- f.call(v, http.MethodPost, "/r/", "k1", "order", nil) }()
 	f.waitFor("the server runs the request", func() bool { return len(f.servers[0].Runs()) == 1 })
-	v.shutDown(server, func() {})
+	shutDown()
 	if r := <-replies; r.err != nil || r.status != http.StatusOK {
 		t.Errorf("the answer that is being written ends with %+v", r)
 	}
