gateway: a stop serves the connections that wait in the listener's queue

Callers see: a request on a new connection ends with a reset when the VM closes its listener, or with a closed connection when the VM had accepted the connection but not served it yet. Cause: closing a listener resets the connections in its queue, and the stop did not know of a connection between its acceptance and its first state. Evidence: TestShutdownDoesNotCutConnectionsThatAreNotServedYet before the change: in the queue of the listener: no answer: read tcp (...): read: connection reset by peer accepted: no answer: unexpected EOF Why it works: StopAccepting closes the listener once its queue is empty, and returns when all accepted connections are tracked; then the stop waits until they are quiet.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -64,11 +64,13 @@
 	g.closeConnections(callers, began.Add(g.schedule.end))
 }
 
-// closeConnections closes the listener and the connections. Those on which a request arrives
-// or an answer is being written are closed when the answer is complete, or at the end.
+// closeConnections closes the listener once its queue is empty, and the connections. Those on
+// which a request arrives or an answer is being written are closed when the answer is complete,
+// or at the end.
 func (g *Gateway) closeConnections(callers *daemon.CallerServer, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	callers.StopAccepting(ctx)
 	for !callers.Quiesced(time.Now()) && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
--- a/gateway/shutdown_conns_test.go
+++ b/gateway/shutdown_conns_test.go
@@ -127,6 +127,68 @@
 	<-v.stopped
 }
 
+// Load: a VM that is busy for half a second has not served new connections, on which
+// requests have arrived, when it is about to close its listener.
+func TestShutdownDoesNotCutConnectionsThatAreNotServedYet(t *testing.T) {
+	for dialed, name := range []string{"accepted", "in the queue of the listener"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			late := socketstest.NewLateListener(listen(t))
+			v := newStoppingVM(t, late)
+			var earlier []*testCaller // their connections are accepted before
+			for range dialed {
+				earlier = append(earlier, v.dial(t))
+			}
+			caller := v.dial(t)
+			caller.send(t, head("new")+"\r\n")
+			v.stop()
+			go func() {
+				<-v.stopped
+				close(late.Exited)
+			}()
+			time.Sleep(2*quietTime + 100*time.Millisecond)
+			close(late.Resume)
+			caller.wantRefusal(t)
+			for _, c := range earlier {
+				_ = c.conn.Close()
+			}
+			<-v.stopped
+		})
+	}
+}
+
+// stuckListener accepts no connection.
+type stuckListener struct {
+	*net.TCPListener
+	closed chan struct{}
+}
+
+func (l *stuckListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *stuckListener) Close() error {
+	err := l.TCPListener.Close()
+	if err == nil {
+		close(l.closed)
+	}
+	return err
+}
+
+// Load: the queue of the listener does not become empty.
+func TestShutdownEndsWithinTheGracePeriodBesideAFullQueue(t *testing.T) {
+	t.Parallel()
+	v := newStoppingVM(t, &stuckListener{TCPListener: listen(t), closed: make(chan struct{})})
+	v.dial(t)
+	began := time.Now()
+	v.stop()
+	<-v.stopped
+	if took, limit := time.Since(began), v.settings.Bounds.GracePeriod; took > limit {
+		t.Errorf("the shutdown took %v, the grace period is %v", took, limit)
+	}
+}
+
 // Load: a caller sends a head without end, a line at a time.
 func TestShutdownEndsWithinTheGracePeriodBesideAHeadWithoutEnd(t *testing.T) {
 	t.Parallel()
