gateway: a caller that pauses its reading is not taken for a dead one

Callers see: an answer larger than the buffers breaks off with a reset when the caller reads nothing for 10 s. Cause: TCP_USER_TIMEOUT (10 s) also ends a connection whose peer is there but whose window is closed. Without it nothing limited a write to a caller. Each answer has a write deadline, 30 s (callerStallTimeout) after the request's deadline, or after now if that has passed. It is one limit for the whole answer: a caller that reads a little now and then cannot extend it, and after its own deadline it has no use for more. WriteTimeout of the HTTP server gives what the server writes by itself (100 Continue, 400) a limit of its own instead of that of the previous answer on the connection.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,8 +58,9 @@
 	requests context.Context         // parent of the contexts of all requests; ends when a shutdown gives them up
 	giveUp   context.CancelCauseFunc // ends requests
 
-	logSampler sampler
-	schedule   shutdownSchedule
+	logSampler         sampler
+	schedule           shutdownSchedule
+	callerStallTimeout time.Duration // after the request's deadline, until the write of its answer fails
 
 	pendingMu sync.Mutex
 	pending   map[uint64]chan reply
@@ -86,7 +87,7 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(),
-		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod),
+		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, schedule: newShutdownSchedule(settings.Bounds.GracePeriod), callerStallTimeout: callerStallTimeout,
 	}
 	g.waits, g.endWaits = context.WithCancel(context.Background())
 	g.requests, g.giveUp = context.WithCancelCause(context.Background())
@@ -102,7 +103,7 @@
 // cannot listen on an address of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info("started", zap.Uint64("incarnation", g.self.Incarnation), zap.String("version", daemon.Version), zap.String("callers", g.settings.CallerAddress))
-	listener, err := daemon.Listen(ctx, g.settings.CallerAddress)
+	listener, err := listenForCallers(ctx, g.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -141,11 +142,12 @@
 	return nil
 }
 
-// newServer returns the HTTP server for callers.
+// newServer returns the HTTP server for callers. WriteTimeout applies to what the
+// server writes by itself, and replaces the limit of the previous answer; see limitWrite.
 func (g *Gateway) newServer() *http.Server {
 	return &http.Server{
 		Handler: g, BaseContext: func(net.Listener) context.Context { return g.requests },
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: callerStallTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -383,6 +383,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(x.body)))
 	}
 	q.closeIfStopping()
+	q.limitWrite()
 	q.w.WriteHeader(x.status)
 	_, err := q.w.Write(x.body)
 	if err == nil && x.rest != nil {
@@ -428,6 +429,7 @@
 	header["Content-Type"] = nil
 	header.Set("Content-Length", "0")
 	q.closeIfStopping()
+	q.limitWrite()
 	q.w.WriteHeader(f.status)
 	q.log(f.status, f.reason, nil)
 }
