--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
@@ -58,7 +57,8 @@
 	placing   phase                            // ends when a shutdown refuses the requests that wait for a server
 	serving   phase                            // parent of the contexts of all requests; ends when a shutdown gives them up
 
-	logSampler sampler
+	logSampler         sampler
+	callerStallTimeout time.Duration // after the request's deadline, until the write of its answer fails
 
 	pendingMu sync.Mutex
 	pending   map[uint64]chan reply
@@ -86,6 +86,7 @@
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(),
 		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
+		callerStallTimeout: callerStallTimeout,
 	}
 	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
 	g.owned.onAvoidanceChange = g.logAvoidance
@@ -100,7 +101,7 @@
 // cannot listen on an address of the settings.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info("started", zap.Uint64("incarnation", g.self.Incarnation), zap.String("version", daemon.Version), zap.String("callers", g.settings.CallerAddress))
-	callers, err := daemon.Listen(ctx, g.settings.CallerAddress)
+	listener, err := listenForCallers(ctx, g.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
@@ -114,12 +115,9 @@
 	if err := daemon.ServeHTTP(serving, g.self.Address, fleet); err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving },
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	callers := daemon.NewCallerServer(g.newServer(), listener, quietTime)
 	go func() {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+		if err := callers.Serve(); err != nil {
 			g.log.Error("listener for callers failed; restart the VM", zap.Error(err))
 		}
 	}()
@@ -136,12 +134,21 @@
 	go g.tick(serving)
 	go g.report(serving)
 	<-ctx.Done()
-	g.shutDown(server, unregister)
+	g.shutDown(callers, unregister)
 	g.awaitRemoval(&registered)
 	g.log.Info("stopped", zap.Int64("unfinished", g.active.Load()))
 	return nil
 }
 
+// newServer returns the HTTP server for callers. WriteTimeout applies to what the
+// server writes by itself, and replaces the limit of the previous answer; see limitWrite.
+func (g *Gateway) newServer() *http.Server {
+	return &http.Server{
+		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving },
+		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: callerStallTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Reload applies changed settings, as returned by platform.LoadSettings. Only the
 // store's address and the grace period take effect; the other settings need a restart.
 // An error is logged and the settings stay as they are.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -396,6 +396,7 @@
 		header.Set("Content-Length", strconv.FormatInt(x.rest.ContentLength, 10))
 	}
 	q.closeIfStopping()
+	q.limitWrite()
 	q.w.WriteHeader(x.status)
 	q.progress = answerBegun
 	_, err := q.w.Write(x.body)
@@ -448,6 +449,7 @@
 	if unread {
 		_ = connection.EnableFullDuplex() // otherwise the answer waits for the end of the body
 	}
+	q.limitWrite()
 	q.w.WriteHeader(f.status)
 	q.progress = answerComplete
 	q.log(f.status, f.reason, nil)
