gateway: the VM answers no request by itself with success

Callers saw: 200 without a server's signature to OPTIONS *, which net/http answers before any handler. Change: net/http's answer is switched off, so the request is refused like others without a route; what net/http logs by itself goes to the VM's log instead of standard error. Evidence: TestOptionsOfTheVMIsNoSuccess failed before (status 200) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,6 +146,7 @@
 	return &http.Server{
 		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving },
 		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: callerStallTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(g.log),
 	}
 }
 
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -98,3 +98,14 @@
 		}
 	}
 }
+
+// Load: a request to the VM itself. No answer says that a server has served it.
+func TestOptionsOfTheVMIsNoSuccess(t *testing.T) {
+	f := newFleet(t, 1)
+	f.configure(defaultParameters)
+	u := f.dialUploader(f.startReady("vm-1"))
+	u.send("OPTIONS * HTTP/1.1\r\nHost: h.example\r\nKey: k1\r\nRequest-Id: options\r\n\r\n")
+	if status := u.receive(); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+}
