limit: an owner that takes over learns what the account has used

Seen: an account beyond its limit got more than the operators allow when its owner changed more than three times within their window, or when two owners took turns.

Cause: each new owner's bucket began with a third of the overage, however many owners had been there before; and a bucket of an owner that came back had filled for the whole time in which another owner spent the same rate.

Change: an owner's token reply carries the level of the bucket, and a VM that asks another owner next, or a restarted one, sends that level and its age (new last fields of take and takeReply; VMs without them behave as before). Pool.Observe limits the bucket to that level and what the rate has added since, unless this owner used it later. An owner that is asked by VMs that know nothing, as after a restart of all, still begins with a third.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,7 +276,9 @@
 	account, ok := t.config.Accounts[m.Account]
 	result := &takeReply{Seq: m.Seq, OK: true}
 	if ok {
-		result.OK, result.RetryAfter = g.quotas.take(g.now(), &account, g.peers.count())
+		var level float64
+		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Seen)
+		result.Level = &level
 	}
 	g.mesh.send(from.Address, kindTakeReply, result)
 }
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingmount.dev/catalog"
+	"lacewingmount.dev/limit"
 	"lacewingmount.dev/membership"
 	"lacewingmount.dev/placement"
 )
@@ -84,6 +85,7 @@
 	take struct {
 		Account string
 		Seq     uint64
+		Seen    *limit.Observation // of the account's bucket at another owner; nil if the sender has none
 	}
 
 	takeReply struct {
@@ -91,7 +93,8 @@
 		NotOwner   bool
 		OK         bool
 		RetryAfter time.Duration
-		Owner      string // with NotOwner: the owner in the view of the sender, if it has received a message from that VM recently; else ""
+		Owner      string   // with NotOwner: the owner in the view of the sender, if it has received a message from that VM recently; else ""
+		Level      *float64 // tokens left in the account's bucket; nil if the sender is not the owner
 	}
 
 	syncReport struct {
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -329,12 +329,39 @@
 
 // quotas holds the token buckets of client accounts. It is safe for concurrent use.
 type quotas struct {
-	mu   sync.Mutex
-	pool *limit.Pool
+	mu      sync.Mutex
+	pool    *limit.Pool
+	replies map[string]tokenReply // last reply to this VM by account
+}
+
+// tokenReply is what an owner replied about an account's bucket.
+type tokenReply struct {
+	owner membership.Member
+	level float64
+	at    time.Time
 }
 
 func newQuotas(overage limit.Overage) *quotas {
-	return &quotas{pool: limit.NewPool(time.Now(), overage)}
+	return &quotas{pool: limit.NewPool(time.Now(), overage), replies: map[string]tokenReply{}}
+}
+
+// recordReply records the tokens that the owner's reply left in the account's bucket.
+func (q *quotas) recordReply(now time.Time, account string, owner membership.Member, level float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.replies[account] = tokenReply{owner: owner, level: level, at: now}
+}
+
+// observation returns what the last reply tells the owner about the account's bucket;
+// nil if the owner sent that reply itself and has not been restarted since.
+func (q *quotas) observation(now time.Time, account string, owner membership.Member) *limit.Observation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	last, ok := q.replies[account]
+	if !ok || last.owner.Name == owner.Name && last.owner.Incarnation == owner.Incarnation {
+		return nil
+	}
+	return &limit.Observation{Level: last.level, Age: now.Sub(last.at)}
 }
 
 func (q *quotas) recordLease(now time.Time, vm string) {
@@ -343,10 +370,17 @@
 	q.pool.RecordLease(now, vm)
 }
 
-func (q *quotas) take(now time.Time, account *platform.Account, vms int) (bool, time.Duration) {
+// take takes a token of an account that this VM owns. seen is what the VM that asks
+// knows of the bucket at another owner, or nil. level is the number of tokens left.
+func (q *quotas) take(now time.Time, account *platform.Account, vms int, seen *limit.Observation) (ok bool, retryAfter time.Duration, level float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.pool.Take(now, account.Name, limit.Quota{Rate: account.Rate, Burst: account.Burst}, vms)
+	quota := limit.Quota{Rate: account.Rate, Burst: account.Burst}
+	if seen != nil {
+		q.pool.Observe(now, account.Name, quota, vms, *seen)
+	}
+	ok, retryAfter = q.pool.Take(now, account.Name, quota, vms)
+	return ok, retryAfter, q.pool.Level(account.Name)
 }
 
 func (q *quotas) takeLocal(now time.Time, account *platform.Account, vms int) (bool, time.Duration) {
--- a/gateway/owners_test.go
+++ b/gateway/owners_test.go
@@ -173,3 +173,35 @@
 		}
 	})
 }
+
+// Load: an account that has used up its bucket at its owner. The owner leaves, and the VM
+// that owns the account next is asked 20 times at once.
+func TestNewOwnerLearnsOfAnEmptyBucket(t *testing.T) {
+	overage := limit.Overage{Window: 5 * time.Second, Fraction: 0.1, Requests: 20}
+	account := &platform.Account{Name: "account", Rate: 20, Burst: 20}
+	members := registeredVMs(2)
+	g := &Gateway{self: members[0], peers: newPeers(members[0]), quotas: newQuotas(overage)}
+	g.peers.setRegistered(time.Now(), members)
+	g.quotas.recordReply(time.Now(), account.Name, members[1], 0.5)
+	members[1].Leaving = true
+	g.peers.updateMember(members[1])
+	for _, m := range members {
+		g.quotas.recordLease(time.Now(), m.Name)
+	}
+	admitted := 0
+	for range 20 {
+		if ok, _, _ := g.admit(t.Context(), account); ok {
+			admitted++
+		}
+	}
+	if admitted > 2 {
+		t.Errorf("%d requests are admitted at once, want 2 or fewer", admitted)
+	}
+	if seen := g.quotas.observation(time.Now(), account.Name, members[0]); seen != nil {
+		t.Errorf("the owner's own reply is reported to it: %+v", seen)
+	}
+	members[0].Incarnation++
+	if seen := g.quotas.observation(time.Now(), account.Name, members[0]); seen == nil {
+		t.Error("nothing is reported to the owner after its restart")
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -80,7 +80,10 @@
 		}
 		owner := g.peers.ownerOf(account.Name)
 		if owner.Name == g.self.Name {
-			ok, retryAfter = g.quotas.take(g.now(), account, g.peers.count())
+			now := g.now()
+			var level float64
+			ok, retryAfter, level = g.quotas.take(now, account, g.peers.count(), g.quotas.observation(now, account.Name, owner))
+			g.quotas.recordReply(now, account.Name, owner, level)
 			return ok, retryAfter, owner.Name
 		}
 		token, retry := g.requestToken(ctx, owner, account)
@@ -106,7 +109,7 @@
 	defer g.removePending(seq)
 	timer := newReplyTimer()
 	defer timer.stop()
-	message := &take{Account: account.Name, Seq: seq}
+	message := &take{Account: account.Name, Seq: seq, Seen: g.quotas.observation(g.now(), account.Name, owner)}
 	g.mesh.send(owner.Address, kindTake, message)
 	for {
 		select {
@@ -115,6 +118,9 @@
 				moved := g.peers.ownerOf(account.Name).Name != owner.Name
 				return nil, moved || r.token != nil && g.restoreOwner(r.token.Owner)
 			}
+			if r.token.Level != nil {
+				g.quotas.recordReply(g.now(), account.Name, owner, *r.token.Level)
+			}
 			return r.token, false
 		case <-timer.retry.C:
 			g.mesh.send(owner.Address, kindTake, message)
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -6,7 +6,7 @@
 
 const (
 	poolLeaseTTL      = 1600 * time.Millisecond // a VM renews its lease every 500 ms; three messages may be lost
-	poolInitialShare  = 1.0 / 3                 // part of the overage that a new bucket holds; three owners may follow one another within a window
+	poolInitialShare  = 1.0 / 3                 // part of the overage that a new bucket holds at most; three owners that know nothing of each other may follow within a window
 	poolStartupWeight = 0.8                     // lowest weight until the VMs have had the time to lease; often all start at once
 	poolIdleTimeout   = time.Minute             // an unused bucket is full long before it is deleted
 	minPoolRetryAfter = 100 * time.Millisecond  // before a refused caller may retry
@@ -84,9 +84,7 @@
 	rate, size := quota.Rate*weight, max(1, quota.Burst*weight)
 	bucket := p.buckets[account]
 	if bucket == nil {
-		p.removeIdle(now)
-		bucket = &poolBucket{level: max(1, poolInitialShare*weight*p.overage.tokens(quota)), filledAt: now}
-		p.buckets[account] = bucket
+		bucket = p.newBucket(now, account, p.initialLevel(quota, weight))
 	}
 	if elapsed := now.Sub(bucket.filledAt); elapsed > 0 {
 		bucket.level += rate * elapsed.Seconds()
@@ -104,6 +102,50 @@
 	return false, min(maxPoolRetryAfter, max(minPoolRetryAfter, wait))
 }
 
+func (p *Pool) initialLevel(quota Quota, weight float64) float64 {
+	return max(1, poolInitialShare*weight*p.overage.tokens(quota))
+}
+
+func (p *Pool) newBucket(now time.Time, account string, level float64) *poolBucket {
+	p.removeIdle(now)
+	bucket := &poolBucket{level: level, filledAt: now}
+	p.buckets[account] = bucket
+	return bucket
+}
+
+// Observation is what a VM knows of an account's bucket at another owner.
+type Observation struct {
+	Level float64       // tokens left
+	Age   time.Duration // since that owner's reply
+}
+
+// Level returns the tokens in the account's bucket after its last use.
+func (p *Pool) Level(account string) float64 {
+	if bucket := p.buckets[account]; bucket != nil {
+		return bucket.level
+	}
+	return 0
+}
+
+// Observe limits the account's bucket to what another owner's held, if that owner was
+// asked later than this one. Otherwise each change of owner would add tokens. An
+// observation older than the overage's window is ignored.
+func (p *Pool) Observe(now time.Time, account string, quota Quota, vms int, seen Observation) {
+	if !(seen.Level >= 0) || seen.Age < 0 || seen.Age > p.overage.Window {
+		return // also if the level is not a number
+	}
+	level, weight := seen.Level+quota.Rate*seen.Age.Seconds(), p.weight(now, vms)
+	bucket := p.buckets[account]
+	if bucket == nil {
+		p.newBucket(now, account, min(level, p.initialLevel(quota, weight)))
+		return
+	}
+	if unused := now.Sub(bucket.filledAt); unused > seen.Age {
+		bucket.level = min(level, bucket.level+quota.Rate*weight*unused.Seconds())
+		bucket.filledAt = now
+	}
+}
+
 func (p *Pool) removeIdle(now time.Time) {
 	for account, bucket := range p.buckets {
 		if now.Sub(bucket.filledAt) > poolIdleTimeout {
--- a/limit/pool_test.go
+++ b/limit/pool_test.go
@@ -192,3 +192,65 @@
 		t.Errorf("%d requests in a second at a rate of 9", admitted)
 	}
 }
+
+// Load: of two accounts of 20 a second, one sends ten times its rate through five VMs, the
+// other 60% of it. From the fifth second on the owner changes each 0.6 s: either to a VM
+// that has just been restarted, or back and forth between two, as when one is suspected and
+// taken back. All VMs lease to all, since each owns other accounts.
+func TestPoolBoundsAFloodThroughOwnersThatTakeTurns(t *testing.T) {
+	const vms = 5
+	type reply struct {
+		from  *Pool
+		level float64
+		at    time.Time
+	}
+	quota := Quota{Rate: 20, Burst: 20}
+	for _, restarts := range []bool{true, false} {
+		f := &poolFleet{now: time.Unix(1000, 0)}
+		started := f.now.Add(-time.Hour)
+		owners := []*Pool{NewPool(started, poolOverage), NewPool(started, poolOverage)}
+		owner := owners[0]
+		replies := map[string]reply{}
+		take := func(account string, vm int) bool {
+			key := fmt.Sprint(account, vm)
+			if last := replies[key]; last.from != nil && last.from != owner {
+				owner.Observe(f.now, account, quota, vms, Observation{Level: last.level, Age: f.now.Sub(last.at)})
+			}
+			ok, _ := owner.Take(f.now, account, quota, vms)
+			replies[key] = reply{owner, owner.Level(account), f.now}
+			return ok
+		}
+		random := rand.New(rand.NewPCG(7, 8))
+		refused := 0
+		for step := range 3000 { // of 5 ms
+			if step >= 1000 && step%120 == 0 {
+				next := step / 120 % 2
+				if restarts {
+					owners[next] = NewPool(f.now, poolOverage)
+				}
+				owner = owners[next]
+			}
+			for vm := range vms {
+				for _, o := range owners {
+					o.RecordLease(f.now, string(rune('a'+vm)))
+				}
+			}
+			if take("flood", random.IntN(vms)) {
+				f.taken = append(f.taken, f.now)
+			}
+			if random.Float64() < 0.06 && !take("within its rate", random.IntN(vms)) {
+				refused++
+			}
+			f.now = f.now.Add(5 * time.Millisecond)
+		}
+		if mostTaken, bound := f.mostTaken(), poolBound(quota); mostTaken > bound {
+			t.Errorf("restarts %v: %d requests in 5 s, and %d are allowed", restarts, mostTaken, bound)
+		}
+		if refused > 0 {
+			t.Errorf("restarts %v: %d requests within the rate are refused", restarts, refused)
+		}
+		if least := 15 * 20 * 8 / 10; len(f.taken) < least {
+			t.Errorf("restarts %v: %d requests in 15 s, want %d or more", restarts, len(f.taken), least)
+		}
+	}
+}
