--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,7 +276,7 @@
 func (g *Gateway) handleTake(from membership.Member, m *take) {
 	t := g.table.Load()
 	owner := g.peers.ownerOf(m.Account).Name
-	if t == nil || owner != g.self.Name {
+	if t == nil || owner != g.self.Name || !g.peers.hasOwners() {
 		g.mesh.send(from.Address, kindTakeReply, &takeReply{Seq: m.Seq, NotOwner: true, Owner: g.peers.nameIfAlive(g.now(), owner)})
 		return
 	}
@@ -284,7 +284,9 @@
 	account, ok := t.config.Accounts[m.Account]
 	result := &takeReply{Seq: m.Seq, OK: true}
 	if ok {
-		result.OK, result.RetryAfter = g.quotas.take(g.now(), &account, g.peers.count())
+		var level float64
+		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Seen)
+		result.Level = &level
 	}
 	g.mesh.send(from.Address, kindTakeReply, result)
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -69,15 +69,21 @@
 }
 
 // admit takes a token of the account: from its owner, or from this VM's own part of
-// the rate if no owner replies. decidedBy is the VM that decided.
+// the rate if no owner replies or all VMs stop. decidedBy is the VM that decided.
 func (g *Gateway) admit(ctx context.Context, account *platform.Account) (ok bool, retryAfter time.Duration, decidedBy string) {
 	if account == nil || account.Rate <= 0 {
 		return true, 0, ""
 	}
 	for range maxOwnerAttempts {
+		if !g.peers.hasOwners() {
+			break
+		}
 		owner := g.peers.ownerOf(account.Name)
 		if owner.Name == g.self.Name {
-			ok, retryAfter = g.quotas.take(g.now(), account, g.peers.count())
+			now := g.now()
+			var level float64
+			ok, retryAfter, level = g.quotas.take(now, account, g.peers.count(), g.quotas.observation(now, account.Name, owner))
+			g.quotas.recordReply(now, account.Name, owner, level)
 			return ok, retryAfter, owner.Name
 		}
 		token, retry := g.requestToken(ctx, owner, account)
@@ -103,7 +109,7 @@
 	defer g.removePending(seq)
 	timer := newReplyTimer()
 	defer timer.stop()
-	message := &take{Account: account.Name, Seq: seq}
+	message := &take{Account: account.Name, Seq: seq, Seen: g.quotas.observation(g.now(), account.Name, owner)}
 	g.mesh.send(owner.Address, kindTake, message)
 	for {
 		select {
@@ -112,6 +118,9 @@
 				moved := g.peers.ownerOf(account.Name).Name != owner.Name
 				return nil, moved || r.token != nil && g.restoreOwner(r.token.Owner)
 			}
+			if r.token.Level != nil {
+				g.quotas.recordReply(g.now(), account.Name, owner, *r.token.Level)
+			}
 			return r.token, false
 		case <-timer.retry.C:
 			g.mesh.send(owner.Address, kindTake, message)
