gateway: the servers are in force before the configuration that lets requests in

Callers saw: in the moment after a VM's start a 503 "no server is left" with Retry-After 0.5, from a VM that had read its servers. Seen once, in TestShutdownAnswersRequestsOfOpenConnections beside a soak (status 503, Retry-After 0.500, on the first request); traced by reading and by the new test. Cause: a request waits for the first configuration; it was put into force before the servers that came with it, and before the brokers knew them. Change: servers and VMs first, the configuration last. Evidence: TestConfigurationIsNotInForceBeforeItsServers failed before and passes. The test that failed once was not repeated by itself.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -227,12 +227,6 @@
 	for _, err := range effect.Errors {
 		f.g.log.Warn("configuration rejected", zap.Error(err))
 	}
-	if current := f.g.table.Load(); effect.Config != nil && (current == nil || current.config.Version < effect.Config.Version) {
-		if f.g.table.Swap(newTable(effect.Config)) == nil {
-			close(f.g.loaded)
-		}
-		f.g.log.Info("configuration in force", zap.Uint64("config", effect.Config.Version), zap.String("source", source))
-	}
 	if effect.VMs {
 		f.mu.Lock()
 		registered := f.catalog.VMs()
@@ -242,6 +236,13 @@
 	if effect.Servers {
 		f.refreshServers(source)
 	}
+	// The first configuration lets requests in, so it comes after their servers.
+	if current := f.g.table.Load(); effect.Config != nil && (current == nil || current.config.Version < effect.Config.Version) {
+		if f.g.table.Swap(newTable(effect.Config)) == nil {
+			close(f.g.loaded)
+		}
+		f.g.log.Info("configuration in force", zap.Uint64("config", effect.Config.Version), zap.String("source", source))
+	}
 }
 
 // refreshServers puts the usable servers of the catalog into force. The caller holds
--- a/gateway/order_test.go
+++ b/gateway/order_test.go
@@ -54,3 +54,25 @@
 		}
 	}
 }
+
+// Load: a request reaches a VM that has just read its first configuration and its servers.
+func TestConfigurationIsNotInForceBeforeItsServers(t *testing.T) {
+	f := fuzzGateway(t).follower
+	f.g.table.Store(nil)
+	f.g.loaded = make(chan struct{})
+	effect := catalog.Effect{Config: &platform.Config{Version: 9}, Servers: true}
+	f.g.owned.mu.Lock() // the servers cannot be put into force
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.apply(effect, "test")
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if f.g.table.Load() != nil {
+		t.Error("the configuration is in force, its servers are not")
+	}
+	f.g.owned.mu.Unlock()
+	if <-done; f.g.table.Load() == nil {
+		t.Error("the configuration is not in force")
+	}
+}
