--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -112,6 +112,16 @@
 	return v
 }
 
+// startWithTimeout starts a VM with the given timeout of the route and waits until it is
+// ready.
+func (f *fleet) startWithTimeout(timeout string) *vm {
+	f.t.Helper()
+	parameters := defaultParameters
+	parameters.timeout = timeout
+	f.configure(parameters)
+	return f.startReady("vm-1")
+}
+
 func (v *vm) isReady() bool {
 	answer, err := http.Get(v.ready)
 	if err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -243,8 +243,8 @@
 }
 
 // waitContext returns a context for the wait for a server. It ends with errStopping when a
-// shutdown refuses the requests that wait, unless the request may have run: then it cannot
-// be refused as not run.
+// shutdown refuses the requests that wait. A request that may have run goes on waiting: its
+// caller could not be told to send it to another VM.
 func (q *request) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if q.mayHaveRun() {
 		return ctx, func() {}
--- a/gateway/shutdown_conns_test.go
+++ b/gateway/shutdown_conns_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -38,51 +37,6 @@
 	v.f.waitFor("the VM refuses requests", func() bool { return !v.accepts(time.Now()) })
 }
 
-// testCaller is one connection of a caller.
-type testCaller struct {
-	conn   net.Conn
-	reader *bufio.Reader
-}
-
-func (v *stoppingVM) dial(t *testing.T) *testCaller {
-	t.Helper()
-	conn, err := net.Dial("tcp", v.callers)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
-	return &testCaller{conn: conn, reader: bufio.NewReader(conn)}
-}
-
-func (c *testCaller) send(t *testing.T, text string) {
-	t.Helper()
-	if _, err := io.WriteString(c.conn, text); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// receive reads an answer without a body, or one that is short.
-func (c *testCaller) receive(t *testing.T) *http.Response {
-	t.Helper()
-	answer, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-		t.Fatalf("the answer broke off: %v", err)
-	}
-	return answer
-}
-
-// wantRefusal reads an answer that says that the request has not run and that the
-// connection ends.
-func (c *testCaller) wantRefusal(t *testing.T) {
-	t.Helper()
-	if answer := c.receive(t); answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" || !answer.Close {
-		t.Fatalf("the request ends with %d, %v", answer.StatusCode, answer.Header)
-	}
-}
-
 // head returns the head of a request up to the empty line.
 func head(id string) string {
 	return fmt.Sprintf("POST /r/ HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nKey: k1\r\nContent-Length: 0\r\n", platformtest.Host, id)
@@ -95,15 +49,15 @@
 	const readDelay = 500 * time.Millisecond
 	v := newStoppingVM(t, &socketstest.BusyListener{TCPListener: listen(t), ReadDelay: readDelay})
 	caller := v.dial(t)
-	caller.send(t, head("before")+"\r\n")
-	if answer := caller.receive(t); answer.StatusCode != http.StatusOK {
+	caller.send(head("before") + "\r\n")
+	if answer := caller.receive(); answer.StatusCode != http.StatusOK {
 		t.Fatalf("%d, %v", answer.StatusCode, answer.Header)
 	}
 	time.Sleep(readDelay + 2*quietTime) // until the connection is idle
 	v.stop()
 	time.Sleep(quietTime / 4)
-	caller.send(t, head("after")+"\r\n")
-	caller.wantRefusal(t)
+	caller.send(head("after") + "\r\n")
+	caller.wantRefusal()
 	<-v.stopped
 }
 
@@ -113,17 +67,17 @@
 	t.Parallel()
 	v := newStoppingVM(t, listen(t))
 	caller := v.dial(t)
-	caller.send(t, head("before")+"\r\n")
-	caller.receive(t)
+	caller.send(head("before") + "\r\n")
+	caller.receive()
 	time.Sleep(quietTime)
 	v.stop()
-	caller.send(t, head("after"))
+	caller.send(head("after"))
 	for i := range 4 {
 		time.Sleep(quietTime / 3)
-		caller.send(t, fmt.Sprintf("Piece: %d\r\n", i))
+		caller.send(fmt.Sprintf("Piece: %d\r\n", i))
 	}
-	caller.send(t, "\r\n")
-	caller.wantRefusal(t)
+	caller.send("\r\n")
+	caller.wantRefusal()
 	<-v.stopped
 }
 
@@ -135,12 +89,12 @@
 			t.Parallel()
 			late := socketstest.NewLateListener(listen(t))
 			v := newStoppingVM(t, late)
-			var earlier []*testCaller // their connections are accepted before
+			var earlier []*rawCaller // their connections are accepted before
 			for range dialed {
 				earlier = append(earlier, v.dial(t))
 			}
 			caller := v.dial(t)
-			caller.send(t, head("new")+"\r\n")
+			caller.send(head("new") + "\r\n")
 			v.stop()
 			go func() {
 				<-v.stopped
@@ -148,7 +102,7 @@
 			}()
 			time.Sleep(2*quietTime + 100*time.Millisecond)
 			close(late.Resume)
-			caller.wantRefusal(t)
+			caller.wantRefusal()
 			for _, c := range earlier {
 				_ = c.conn.Close()
 			}
@@ -194,7 +148,7 @@
 	t.Parallel()
 	v := newStoppingVM(t, listen(t))
 	caller := v.dial(t)
-	caller.send(t, head("endless"))
+	caller.send(head("endless"))
 	began := time.Now()
 	v.stop()
 	for running := true; running; {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -57,10 +57,7 @@
 // The process ends before it is killed.
 func TestShutdownEndsWithinTheGracePeriodWithoutTheStore(t *testing.T) {
 	f := newFleet(t, 1)
-	parameters := defaultParameters
-	parameters.timeout = "20s"
-	f.configure(parameters)
-	v := f.startReady("vm-1")
+	v := f.startWithTimeout("20s")
 	f.setBehavior(func(*platformtest.Server, string) platformtest.Behavior { return platformtest.Hang })
 	connection, err := platformtest.Dial(v.callers, time.Second)
 	if err != nil {
@@ -146,10 +143,7 @@
 func TestShutdownRefusesRetriesThatStillWaitForAServer(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
-	parameters := defaultParameters
-	parameters.timeout = "20s"
-	f.configure(parameters)
-	v := f.startReady("vm-1")
+	v := f.startWithTimeout("20s")
 	busy, other := f.servers[0], f.servers[1]
 	other.SetProcessingTime(300 * time.Millisecond) // so that the first requests are spread over both
 	f.setBehavior(func(s *platformtest.Server, id string) platformtest.Behavior {
@@ -197,10 +191,7 @@
 func TestShutdownAnswersTheRequestsThatItGivesUp(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
-	parameters := defaultParameters
-	parameters.timeout = "20s"
-	f.configure(parameters)
-	v := f.startReady("vm-1")
+	v := f.startWithTimeout("20s")
 	f.setBehavior(func(*platformtest.Server, string) platformtest.Behavior { return platformtest.Hang })
 	replies := make(chan platformtest.Reply, 1)
 	go func() {
@@ -223,22 +214,12 @@
 func TestShutdownRefusesUploadsThatDoNotEnd(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
-	parameters := defaultParameters
-	parameters.timeout = "20s"
-	f.configure(parameters)
-	v := f.startReady("vm-1")
-	u := f.dialUploader(v)
+	v := f.startWithTimeout("20s")
+	u := v.dial(t)
 	u.send(uploadHead("/r/", 1000, "") + "half")
 	f.waitFor("the upload is read", func() bool { return v.active.Load() == 1 })
 	v.stop()
-	answer, err := http.ReadResponse(u.reader, nil)
-	if err != nil {
-		t.Fatalf("the upload ends without an answer: %v", err)
-	}
-	_ = answer.Body.Close()
-	if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" || !answer.Close {
-		t.Errorf("the upload ends with %d, %v", answer.StatusCode, answer.Header)
-	}
+	u.wantRefusal()
 	for range 5 {
 		u.send("more")
 		time.Sleep(50 * time.Millisecond)
@@ -250,10 +231,7 @@
 func TestShutdownFinishesLongRequestsThatItAccepts(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
-	parameters := defaultParameters
-	parameters.timeout = "3s"
-	f.configure(parameters)
-	v := f.startReady("vm-1")
+	v := f.startWithTimeout("3s")
 	v.schedule.Store(newShutdownSchedule(v.settings.Bounds.GracePeriod))
 	for _, s := range f.servers {
 		s.SetProcessingTime(1600 * time.Millisecond)
@@ -280,14 +258,14 @@
 	f := newFleet(t, 1)
 	f.configure(defaultParameters)
 	v := f.startReady("vm-1")
-	begins, upload := f.dialUploader(v), f.dialUploader(v)
+	begins, upload := v.dial(t), v.dial(t)
 	upload.send(uploadHead("/r/", 2, "") + "1")
 	f.waitFor("the upload is read", func() bool { return v.active.Load() == 1 })
 	v.shutdown.Store((&shutdownSchedule{exit: time.Second}).beginAt(time.Now())) // shutDown has not run any further
 	begins.send(uploadHead("/r/", 0, ""))
 	upload.send("2")
-	for _, u := range []*uploader{begins, upload} {
-		if status := u.receive(); status != http.StatusServiceUnavailable {
+	for _, u := range []*rawCaller{begins, upload} {
+		if status := u.receive().StatusCode; status != http.StatusServiceUnavailable {
 			t.Errorf("status %d, want 503", status)
 		}
 	}
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -36,13 +36,13 @@
 }
 
 // askSlowly sends a request over a connection with a small receive window.
-func askSlowly(t *testing.T, v *vm, deadline time.Duration) *testCaller {
+func askSlowly(t *testing.T, v *vm, deadline time.Duration) *rawCaller {
 	t.Helper()
-	caller := (&stoppingVM{vm: v}).dial(t)
+	caller := v.dial(t)
 	if err := caller.conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
 		t.Fatal(err)
 	}
-	caller.send(t, head("long")+fmt.Sprintf("Deadline-Ms: %d\r\n\r\n", deadline.Milliseconds()))
+	caller.send(head("long") + fmt.Sprintf("Deadline-Ms: %d\r\n\r\n", deadline.Milliseconds()))
 	return caller
 }
 
