--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -15,7 +15,7 @@
 const queuePollPeriod = 20 * time.Millisecond // between checks whether the listener's queue is empty
 
 // CallerServer serves callers over HTTP. To stop without losing requests that have reached
-// this VM, call StopAccepting, wait until Quiesced, and then call Shutdown.
+// this VM, call StopAccepting, wait until Quiesced, and then call Shutdown or Close.
 type CallerServer struct {
 	http     *http.Server
 	listener net.Listener
@@ -23,7 +23,7 @@
 	ended    chan struct{} // closed when all accepted connections are in idle and no more are accepted
 
 	mu   sync.Mutex
-	idle map[*callerConn]time.Time // open connections with the start of their idle time; zero while a request is served
+	idle map[*callerConn]time.Time // all open connections with the start of their idle time; zero while a request is served
 }
 
 // NewCallerServer returns a CallerServer for the connections of listener, which Serve
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second       // for a complete request head; the configuration's limit is shorter
-	callerIdleTimeout = 90 * time.Second       // for idle caller connections; the configuration's limit on their reuse is shorter
+	readHeaderTimeout = 10 * time.Second       // for a complete request head; the configuration's limit is not applied
+	callerIdleTimeout = 90 * time.Second       // for idle caller connections; the configuration's limit on their reuse is not applied
 	maxHeaderBytes    = 64 << 10               // of a request head, where the configuration sets no limit
 	fetchDialTimeout  = 200 * time.Millisecond // a VM that has not accepted the connection by then is treated as unreachable
 )
--- a/gateway/panics.go
+++ b/gateway/panics.go
@@ -34,7 +34,7 @@
 	q.refuse(&refusal{status, 0, "panic"})
 }
 
-// answerProgress is how much of the answer has been written.
+// answerProgress is how much of the answer has been handed to net/http.
 type answerProgress int
 
 const (
