--- a/entry/callers.go
+++ b/entry/callers.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/sockets"
 )
@@ -29,6 +31,10 @@
 // serve accepts callers in the background.
 func (e *Entry) serve(listener net.Listener) *daemon.CallerServer {
 	server := daemon.NewCallerServer(newServer(e), listener, minIdleBeforeClose)
-	go func() { _ = server.Serve() }()
+	go func() {
+		if err := server.Serve(); err != nil {
+			e.log.Error("listener for callers failed; restart the entry", zap.Error(err))
+		}
+	}()
 	return server
 }
