--- a/review/standin/leaver.go
+++ b/review/standin/leaver.go
@@ -9,7 +9,7 @@
 const (
 	leaverServices = 8
 	leaverServers  = 10 // of each service
-	leaverGone     = 2 // of these leave in each round
+	leaverGone     = 2  // of these leave in each round
 	leaverRate     = 400.0
 	leaverRounds   = 3
 	roundTime      = 26 * time.Second
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 }
 
 func main() {
-	cases := map[string]func(*env) (int, error){"copies": playCopies, "hot": playHot, "leaver": playLeaver, "stop": playStop}
+	cases := map[string]func(*env) (int, error){"copies": playCopies, "hot": playHot, "leaver": playLeaver, "stop": playStop, "freeze": playFreeze}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(notRun)
