--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -39,7 +39,6 @@
 	if err != nil {
 		return notRun, err
 	}
-	defer f.end()
 	begin := time.Now().Add(time.Second)
 	end := begin.Add(copiesPlay)
 	var mu sync.Mutex
@@ -53,9 +52,12 @@
 	go func() {
 		for at := begin.Add(2 * time.Second); e.trouble && at.Before(end); at = at.Add(refusePeriod) {
 			time.Sleep(time.Until(at))
-			e.rec.log("disruption begins: the servers refuse a share of %.2f of the requests as not run for %v; %.1f of them send a second copy of a share of %.2f of their answers, for %v and then for the rest of that time", refuseShare, refuseTime, copyServers, copyShare, copyTime)
+			e.rec.log("disruption begins: the servers refuse a share of %.2f of the requests as not run for %v; %.1f of them send a second copy of a share of %.2f of their answers for %v", refuseShare, refuseTime, copyServers, copyShare, copyTime)
 			setTrouble(services, refuseShare, copyShare)
-			time.Sleep(refuseTime)
+			time.Sleep(copyTime)
+			setTrouble(services, refuseShare, 0)
+			e.rec.log("the second copies end")
+			time.Sleep(refuseTime - copyTime)
 			setTrouble(services, 0, 0)
 			e.rec.log("disruption ends")
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -33,6 +33,7 @@
 	process *exec.Cmd
 	inUse   bool // the platform sends new channels
 	down    bool // killed by the test and not to be restarted
+	ended   bool // the case is over; nothing is started any more
 	ends    int  // times that the process was ended because of its memory
 	peakMB  int
 }
@@ -41,6 +42,7 @@
 type fleet struct {
 	machines []*machine
 	stop     chan struct{}
+	once     sync.Once
 }
 
 // freePort returns a port that is free on the host for TCP and, if asked for, UDP.
@@ -67,6 +69,7 @@
 // startFleet starts machines of the given names on loopback addresses and waits until all are ready.
 func startFleet(e *env, names ...string) (*fleet, error) {
 	f := &fleet{stop: make(chan struct{})}
+	e.onEnd(f.end)
 	for i, name := range names {
 		m := &machine{name: name, ip: fmt.Sprintf("%s.%d", e.base, i+11), rec: e.rec, root: e.root}
 		ports := make([]int, 3)
@@ -201,11 +204,16 @@
 	process.Dir = m.root
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LACEWINGMOUNT_BOOT=" + m.settings}
 	process.Stdout, process.Stderr = logFile, logFile
-	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if this program itself is killed
+	m.mu.Lock()
+	if m.ended {
+		m.mu.Unlock()
+		return logFile.Close()
+	}
 	if err := process.Start(); err != nil {
+		m.mu.Unlock()
 		return err
 	}
-	m.mu.Lock()
 	m.process, m.down = process, false
 	m.mu.Unlock()
 	m.rec.log("machine %s started, process %d", m.name, process.Process.Pid)
@@ -318,12 +326,16 @@
 	return 0
 }
 
-// end kills all processes that the fleet started.
+// end kills all processes that the fleet started, by their ids. Later calls do nothing.
 func (f *fleet) end() {
+	f.once.Do(f.killAll)
+}
+
+func (f *fleet) killAll() {
 	close(f.stop)
 	for _, m := range f.machines {
 		m.mu.Lock()
-		m.down = true
+		m.down, m.ended = true, true
 		if m.process != nil {
 			m.process.Process.Kill()
 		}
--- a/review/standin/freeze.go
+++ b/review/standin/freeze.go
@@ -34,7 +34,6 @@
 	if err != nil {
 		return notRun, err
 	}
-	defer f.end()
 	begin := time.Now().Add(4 * time.Second)
 	next := func(int) request {
 		return request{method: "GET", host: "hulo84.example", path: "/shelf/2f", key: tenantKey, budget: 8 * time.Second}
--- a/review/standin/hot.go
+++ b/review/standin/hot.go
@@ -25,13 +25,12 @@
 	}
 	e.configure([]route{
 		{"r-renewal", "/renewal/", "unsafe", "5000ms", "ledger"},
-		{"r-manuscript", "/manuscript/", "upload", "0ms", "inkwell"},
+		{"r-manuscript", "/manuscript/", "upload", "", "inkwell"},
 	}, []tenant{{tenantName, tenantKey, 100, 100}, {otherName, otherKey, uploadQuota, 2}})
 	f, err := startFleet(e, "edge-jeonju-1", "edge-gwangju-1")
 	if err != nil {
 		return notRun, err
 	}
-	defer f.end()
 	begin := time.Now().Add(time.Second)
 	end := begin.Add(hotPlay)
 	renewals := e.sendAll(f, 40, renewalRate, end, func(int) request {
--- a/review/standin/leaver.go
+++ b/review/standin/leaver.go
@@ -43,7 +43,6 @@
 	if err != nil {
 		return notRun, err
 	}
-	defer f.end()
 	begin := time.Now().Add(6 * time.Second)
 	var mu sync.Mutex
 	number := 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,25 @@
 	store   *store
 	log     *runLog
 	trouble bool
+
+	endMu  sync.Mutex
+	ending []func() // ends what the case has started
+}
+
+// onEnd has f called when the case ends, also if it fails or is interrupted.
+func (e *env) onEnd(f func()) {
+	e.endMu.Lock()
+	defer e.endMu.Unlock()
+	e.ending = append(e.ending, f)
+}
+
+// end ends what the case has started.
+func (e *env) end() {
+	e.endMu.Lock()
+	defer e.endMu.Unlock()
+	for _, f := range e.ending {
+		f()
+	}
 }
 
 func main() {
@@ -64,10 +83,15 @@
 	e := &env{rec: rec, root: root, dir: dir, base: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)), log: &runLog{}, trouble: os.Getenv("TROUBLE") != "0"}
 	e.store = newStore(rec, e.base+".1")
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer e.end()
 	go func() {
 		<-interrupted
-		os.Exit(notRun) // the processes end with this one
+		rec.log("interrupted")
+		e.end()
+		rec.close()
+		os.RemoveAll(dir)
+		os.Exit(notRun)
 	}()
 	rec.log("trouble=%v", e.trouble)
 	result, err := playCase(e)
@@ -106,7 +130,11 @@
 	config := map[string]any{"version": "00000007", "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}}
 	routeTable, services, tenantTable := map[string]any{}, map[string]any{}, map[string]any{}
 	for _, r := range routes {
-		routeTable[r.name] = map[string]any{"hostname": "hulo84.example", "pathPrefix": r.prefix, "routeType": r.kind, "timeout": r.timeout, "targetLatency": "1500ms", "priority": 1, "service": r.service, "maxAttempts": 2, "public": false}
+		entry := map[string]any{"hostname": "hulo84.example", "pathPrefix": r.prefix, "routeType": r.kind, "targetLatency": "1500ms", "priority": 1, "service": r.service, "maxAttempts": 2, "public": false}
+		if r.timeout != "" {
+			entry["timeout"] = r.timeout
+		}
+		routeTable[r.name] = entry
 		services[r.service] = map[string]any{"healthCheckPath": "/health", "maxConnections": 390, "protocol": "h1", "tls": false}
 	}
 	for _, t := range tenants {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,6 +27,7 @@
 type run struct {
 	id, server, service string
 	at                  time.Time // when the request arrived
+	workUntil           time.Time // when its work ends
 }
 
 // runLog holds all executions.
@@ -250,12 +251,12 @@
 		return notRun(503, "time budget over in the queue")
 	}
 	defer func() { v.free <- struct{}{} }()
-	v.log.add(run{id, v.id, v.service, arrived})
-	v.rec.log("server %s runs %s", v.id, id)
 	work := time.Duration((0.5 + rand.Float64()) * float64(v.meanWork))
 	if v.lateBody {
 		work = v.meanWork + time.Duration(rand.Float64()*float64(v.maxWork-v.meanWork))
 	}
+	v.log.add(run{id, v.id, v.service, arrived, time.Now().Add(work)})
+	v.rec.log("server %s runs %s", v.id, id)
 	time.Sleep(work)
 	body := make([]byte, responseBytes)
 	for i := range body {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -83,12 +83,12 @@
 	return time.Now()
 }
 
-// remove removes a key. It returns the time of the acknowledgement.
+// remove removes a key. It returns the time at which the acknowledgement reaches the caller.
 func (s *store) remove(key string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unset(key)
-	return time.Now()
+	return time.Now().Add(storeAnswerTime)
 }
 
 // lastReader returns the machine that read the store last.
