gateway: a request is sent at most once on a connection to a server

Cause: an answer was matched to its request by the request's ID alone. A refused sending returned its connection to the pool, and the next sending of the same request to that server took it again. A late second copy of the refusal, sent when the next request had arrived, bore the right ID and was taken for the answer to the second sending, while the server ran it. The third sending ran the request again, or the caller was told that it had not run. The same holds for a caller that repeats a request under its ID, and for requests without an ID, where any answer without one was taken.

A request without an ID needs a connection on which nothing was sent. Other requests go on using the connection, so a refusal costs no connection by itself.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,7 @@
 	net.Conn
 	limiter   *headLimiter
 	reader    *bufio.Reader
+	sent      sentIDs
 	idleUntil time.Time
 	reused    bool
 }
@@ -59,20 +61,28 @@
 
 func newBackendPool() *backendPool { return &backendPool{idle: map[string][]*backendConn{}} }
 
-// take returns an idle connection that is still open, or nil.
-func (p *backendPool) take(key string) *backendConn {
+// take returns an idle connection that is still open and accepts a request with the ID, or
+// nil.
+func (p *backendPool) take(key, id string) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for conns := p.idle[key]; len(conns) > 0; conns = p.idle[key] {
-		conn := conns[len(conns)-1]
-		p.idle[key] = conns[:len(conns)-1]
-		if time.Now().Before(conn.idleUntil) && sockets.Peek(conn.Conn) == sockets.NoData {
+	for i := len(p.idle[key]) - 1; i >= 0; i-- {
+		conn := p.idle[key][i]
+		open := time.Now().Before(conn.idleUntil) && sockets.Peek(conn.Conn) == sockets.NoData
+		if open && !conn.sent.accepts(id) {
+			repeatsPassedOver.Inc()
+			continue
+		}
+		p.idle[key] = slices.Delete(p.idle[key], i, i+1)
+		if open {
 			conn.reused = true
 			return conn
 		}
 		_ = conn.Close()
 	}
-	delete(p.idle, key)
+	if len(p.idle[key]) == 0 {
+		delete(p.idle, key)
+	}
 	return nil
 }
 
@@ -135,7 +145,7 @@
 	x := &exchange{}
 	started := time.Now()
 	key := server.ID + "@" + server.Address
-	conn, err := b.connect(ctx, key, server.Address)
+	conn, err := b.connect(ctx, key, server.Address, request.id)
 	if err != nil {
 		x.outcome, x.err, x.took = placement.Unreachable, err, time.Since(started)
 		if ctx.Err() != nil {
@@ -144,6 +154,7 @@
 		return x
 	}
 	x.conn, x.reused, x.sent = conn, conn.reused, true
+	conn.sent.add(request.id)
 	_ = conn.SetDeadline(deadline) // fails only on a closed connection, which the write reports
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	x.err = x.roundTrip(request)
@@ -161,8 +172,9 @@
 	return x
 }
 
-func (b *backend) connect(ctx context.Context, key, address string) (*backendConn, error) {
-	if conn := b.pool.take(key); conn != nil {
+// connect returns a connection on which a request with the ID may be sent.
+func (b *backend) connect(ctx context.Context, key, address, id string) (*backendConn, error) {
+	if conn := b.pool.take(key, id); conn != nil {
 		return conn, nil
 	}
 	backendConnects.Inc()
@@ -287,7 +299,7 @@
 // reusable reports whether the connection may serve another request. It may not after
 // a long request body: the server may not have read all of it, even if it was written.
 func (x *exchange) reusable() bool {
-	if x.writeErr != nil || x.unusable || x.rest != nil || x.conn.reader.Buffered() > 0 {
+	if x.writeErr != nil || x.unusable || x.rest != nil || x.conn.reader.Buffered() > 0 || x.conn.sent.full() {
 		return false
 	}
 	return true
@@ -307,5 +319,6 @@
 
 var (
 	backendConnects   = metrics.GetOrCreateCounter("lacewing_backend_connects_total")
+	repeatsPassedOver = metrics.GetOrCreateCounter("lacewing_backend_repeats_passed_over_total")
 	mismatchedAnswers = metrics.GetOrCreateCounter("lacewing_backend_stray_answers_total")
 )
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -89,7 +89,7 @@
 			case <-time.After(limit):
 				t.Error("the connection is still open")
 			}
-			if b.pool.take("s@"+address) != nil {
+			if b.pool.take("s@"+address, "next") != nil {
 				t.Error("the connection is kept for other requests")
 			}
 		})
