catalog, gateway: an outage of the store ends for all VMs with its first answer to any

Cause: a VM whose own call to the store had failed kept the mark "store down" until its own next call, which may come minutes later, when it takes over as the reader. It took that moment for the end of the outage and kept servers whose removal it read then for 2 s more. The other way round, VMs that learned of removals from the reader had no end of the outage, and dropped servers whose records had lapsed at once.

Lapsed servers are dropped when their own time ends, not when the last outage's does. "store lost" and "store regained" in the log stay those of this VM's calls; the end of an outage has a line of its own.

Tried and left out: the end of the outage as a field of updates. In a shorter outage in which records lapse, a VM that has not yet called drops them as before.

The same cause elsewhere: the agent marks the store lost by its own calls too, but only its log and events hang on it; configuration and keys go by revision and version, slots by the servers in force.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -10,10 +10,9 @@
 	"lacewingmount.dev/platform"
 )
 
-const (
-	outageGrace  = 2 * time.Second  // servers whose registration lapsed during a store outage are specified to register again within this time
-	tombstoneTTL = 60 * time.Second // older messages and replies have been dropped by then, so none can bring the item back
-)
+// tombstoneTTL is how long removals are remembered. Older messages and replies have been
+// dropped by then, so none can bring the item back.
+const tombstoneTTL = 60 * time.Second
 
 // Change is the decoded new value of one store item, or its removal. Exactly one of
 // Server, VM and Config is set, unless Removed is true.
@@ -52,8 +51,8 @@
 	digest             uint64
 	revision           uint64    // store revision up to which all changes have been applied
 	syncedAt           time.Time // the contents match the store at this time or later
-	storeDown          bool      // the last call to the store failed
-	storeRecoveredAt   time.Time // end of the last store outage, as observed by this VM
+	outages            outages
+	nextLapse          time.Time // when the time of the first kept server ends; zero if none is kept
 	lastTombstoneSweep time.Time
 	prunedRevision     uint64 // removals up to this revision may have been pruned
 }
@@ -105,8 +104,9 @@
 	c.digest ^= known.digest
 	tombstone := *known
 	tombstone.Revision, tombstone.Removed, tombstone.removedAt, tombstone.contentRevision = change.Revision, true, now, change.Revision
-	if until := c.storeRecoveredAt.Add(outageGrace); known.Server != nil && now.Before(until) {
+	if until, keeps := c.outages.keepsLapsed(now); keeps && known.Server != nil {
 		tombstone.keepUntil = until
+		c.scheduleLapse(until)
 	}
 	c.items[change.Key] = &tombstone
 	c.addEffect(tombstone.Change, effect)
@@ -230,25 +230,6 @@
 // Age returns the time since the contents were last known to match the store.
 func (c *Catalog) Age(now time.Time) time.Duration { return now.Sub(c.syncedAt) }
 
-// MarkStoreDown records that the store did not answer. It reports whether this
-// starts an outage.
-func (c *Catalog) MarkStoreDown() bool {
-	was := c.storeDown
-	c.storeDown = true
-	return !was
-}
-
-// MarkStoreUp records that the store answered. It reports whether this ends an
-// outage.
-func (c *Catalog) MarkStoreUp(now time.Time) bool {
-	was := c.storeDown
-	c.storeDown = false
-	if was {
-		c.storeRecoveredAt = now
-	}
-	return was
-}
-
 func (c *Catalog) dropTombstones(now time.Time) {
 	if now.Sub(c.lastTombstoneSweep) < time.Second {
 		return
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -82,7 +82,7 @@
 func TestServersThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
 	c := New()
 	c.Apply(start, []Change{server("a", 5, false), server("b", 6, false)})
-	c.MarkStoreDown()
+	c.MarkStoreDown(start)
 	recovered := start.Add(10 * time.Second)
 	if !c.MarkStoreUp(recovered) {
 		t.Fatal("MarkStoreUp does not report the end of the outage")
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -30,12 +30,12 @@
 
 	applying sync.Mutex // held while changes are put into force, so that the newest ones stay; locked before mu
 
-	mu              sync.Mutex
-	catalog         *catalog.Catalog
-	lastFetch       time.Time // start of the last fetch from another VM
-	differsSince    time.Time // start of the time in which this VM's digest has differed from that of updates
-	fetchAll        bool      // the digests differed even after the last fetch, so the next one is complete
-	storeReturnedAt time.Time // end of the store's last outage; zero once its lapsed servers were dropped
+	mu           sync.Mutex
+	catalog      *catalog.Catalog
+	lastFetch    time.Time // start of the last fetch from another VM
+	differsSince time.Time // start of the time in which this VM's digest has differed from that of updates
+	fetchAll     bool      // the digests differed even after the last fetch, so the next one is complete
+	storeLost    bool      // this VM's last call to the store failed; only for the log
 }
 
 func newFollower(g *Gateway, store *platform.Store) *follower {
@@ -122,10 +122,10 @@
 		return f.readAll(ctx)
 	}
 	if err != nil {
-		f.markStoreDown(ctx, err)
+		f.markStoreFailed(ctx, started, err)
 		return false
 	}
-	f.markStoreUp()
+	f.markStoreReachable()
 	f.mu.Lock()
 	effect := f.catalog.Apply(time.Now(), f.decodeItems(items))
 	f.catalog.MarkSynced(started, revision)
@@ -144,10 +144,10 @@
 	defer cancel()
 	snapshot, err := f.store.List(call, "", false)
 	if err != nil {
-		f.markStoreDown(ctx, err)
+		f.markStoreFailed(ctx, started, err)
 		return false
 	}
-	f.markStoreUp()
+	f.markStoreReachable()
 	f.mu.Lock()
 	effect := f.catalog.Replace(time.Now(), f.decodeItems(snapshot.Items), snapshot.Revision)
 	f.catalog.MarkSynced(started, snapshot.Revision)
@@ -159,27 +159,39 @@
 	return true
 }
 
-func (f *follower) markStoreDown(ctx context.Context, err error) {
+// markStoreFailed records that a call to the store failed, which began at the given time.
+func (f *follower) markStoreFailed(ctx context.Context, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	f.mu.Lock()
-	outageStarted := f.catalog.MarkStoreDown()
-	f.mu.Unlock()
-	if outageStarted {
+	defer f.mu.Unlock()
+	f.catalog.MarkStoreDown(began)
+	if !f.storeLost {
+		f.storeLost = true
 		f.g.log.Warn("store lost", zap.Error(err))
 	}
 }
 
-func (f *follower) markStoreUp() {
+// markStoreReachable records that the store answered a call of this VM.
+func (f *follower) markStoreReachable() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.catalog.MarkStoreUp(time.Now()) {
-		f.storeReturnedAt = time.Now()
+	f.markStoreUp(time.Now(), sourceStore)
+	if f.storeLost {
+		f.storeLost = false
 		f.g.log.Info("store regained")
 	}
 }
 
+// markStoreUp records that the store answered this VM or the one that is the source. The
+// caller holds mu.
+func (f *follower) markStoreUp(at time.Time, source string) {
+	if f.catalog.MarkStoreUp(at) {
+		f.g.log.Info("outage of the store ended; servers whose records lapsed are kept for a while", zap.String("source", source))
+	}
+}
+
 // decodeItems turns items of the store into changes. Items that cannot be decoded are
 // logged and skipped; their last valid values stay in force.
 func (f *follower) decodeItems(items []platform.Item) []catalog.Change {
@@ -254,14 +266,10 @@
 	f.g.setServers(servers, source)
 }
 
-// tick drops the servers whose records have not reappeared lapsedRecordGrace after
-// the end of an outage of the store.
+// tick drops the servers whose records have not reappeared after an outage of the store.
 func (f *follower) tick(now time.Time) {
 	f.mu.Lock()
-	due := !f.storeReturnedAt.IsZero() && now.Sub(f.storeReturnedAt) > lapsedRecordGrace
-	if due {
-		f.storeReturnedAt = time.Time{}
-	}
+	due := f.catalog.DropLapsed(now)
 	f.mu.Unlock()
 	if due {
 		f.applying.Lock()
@@ -270,10 +278,6 @@
 	}
 }
 
-// lapsedRecordGrace is slightly longer than the time in which servers write their
-// lapsed records again after an outage of the store.
-const lapsedRecordGrace = 2050 * time.Millisecond
-
 // sleep waits for the given time or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -81,6 +81,7 @@
 func (f *follower) onMessage(ctx context.Context, from membership.Member, message *update) {
 	now := time.Now()
 	f.mu.Lock()
+	f.markStoreUp(now.Add(-max(0, message.Age)), from.Name)
 	effect := f.catalog.Apply(now, message.Changes)
 	mustRelay := message.Origin != "" && len(effect.Forward) > 0
 	same := f.catalog.Digest() == message.Digest
@@ -125,6 +126,7 @@
 		return
 	}
 	f.mu.Lock()
+	f.markStoreUp(started.Add(-max(0, contents.Age)), from.Name)
 	var effect catalog.Effect
 	if contents.Whole {
 		effect = f.catalog.Replace(time.Now(), contents.Changes, contents.Revision+1)
