gateway, once: values of unknown fields are rejected, not skipped

One datagram of 60 KB to a VM's fleet port, or one record of claims that another writer left in the store, ended the process, with all requests in it.

Cause: package msgpack skips the value of an unknown field recursively. 4 MB of nested arrays, which compress to under 60 KB, overflow the stack, and Go ends the process; recover does not help. JSON decoders limit the depth themselves.

Change: decoders of messages, of other VMs' catalog contents and of claims reject unknown fields. VMs of one version send none, and lists of fields of another length were rejected before.

Red before: TestDeeplyNestedMessagesAreDropped, TestDeeplyNestedRecordIsRejected ("goroutine stack exceeds-byte limit"). TestDeeplyNestedContentsAreRejected guards the third place.

--- a/gateway/mesh.go
+++ b/gateway/mesh.go
@@ -113,13 +113,22 @@
 func decode(datagram []byte) (envelope, *msgpack.Decoder, error) {
 	reader := bytes.NewReader(datagram)
 	var head envelope
-	if err := msgpack.NewDecoder(reader).Decode(&head); err != nil {
+	if err := newDecoder(reader).Decode(&head); err != nil {
 		return head, nil, err
 	}
 	if head.Compressed {
-		return head, msgpack.NewDecoder(io.LimitReader(flate.NewReader(reader), maxMessageBody)), nil
+		return head, newDecoder(io.LimitReader(flate.NewReader(reader), maxMessageBody)), nil
 	}
-	return head, msgpack.NewDecoder(reader), nil
+	return head, newDecoder(reader), nil
+}
+
+// newDecoder returns a decoder of what other VMs send. It rejects unknown fields, because
+// package msgpack skips their values recursively: one that is nested deeply enough
+// overflows the stack, which ends the process.
+func newDecoder(reader io.Reader) *msgpack.Decoder {
+	decoder := msgpack.NewDecoder(reader)
+	decoder.DisallowUnknownFields(true)
+	return decoder
 }
 
 // receive passes each datagram of another VM to handle until ctx ends.
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/catalog"
@@ -155,7 +154,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var contents update
-	if err := msgpack.NewDecoder(io.LimitReader(flate.NewReader(response.Body), maxContents)).Decode(&contents); err != nil {
+	if err := newDecoder(io.LimitReader(flate.NewReader(response.Body), maxContents)).Decode(&contents); err != nil {
 		return nil, errs.Wrap(err, errs.Ambiguous, "catalog contents of another VM cannot be decoded", "run the same version on all VMs")
 	}
 	return &contents, nil
--- a/once/record.go
+++ b/once/record.go
@@ -57,8 +57,12 @@
 	return content.Bytes()
 }
 
+// decode rejects unknown fields: package msgpack skips their values recursively, and one that
+// is nested deeply enough overflows the stack.
 func decode(key string, content []byte, value any) error {
-	if err := msgpack.Unmarshal(content, value); err != nil {
+	decoder := msgpack.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields(true)
+	if err := decoder.Decode(value); err != nil {
 		return errs.Wrap(err, errs.Invalid, "the claims stored under "+key+" cannot be decoded", "run the same version on all VMs")
 	}
 	return nil
