--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -12,7 +11,6 @@
 
 	"lacewingmount.dev/catalog"
 	"lacewingmount.dev/errs"
-	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 )
 
@@ -217,9 +215,9 @@
 			if item.Deleted {
 				break
 			}
-			var member membership.Member
-			if err := json.Unmarshal(item.Value, &member); err != nil {
-				f.g.log.Warn("invalid record skipped", zap.String("key", item.Key), zap.Error(err))
+			member, err := decodeMember(strings.TrimPrefix(item.Key, vmsPrefix), item.Value)
+			if err != nil {
+				f.g.log.Warn("invalid record skipped", zap.Uint64("revision", item.Revision), zap.Error(err))
 				continue
 			}
 			change.VM = &member
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/errs"
+	"lacewingmount.dev/membership"
 )
 
 const (
@@ -19,6 +22,20 @@
 	startAnnouncementInterval = 150 * time.Millisecond
 )
 
+// decodeMember decodes the registration of the VM with the name. It fails with kind Invalid if
+// the registration is another VM's or has no address that messages can be sent to.
+func decodeMember(name string, value []byte) (membership.Member, error) {
+	var member membership.Member
+	if err := json.Unmarshal(value, &member); err != nil {
+		return member, errs.Wrap(err, errs.Invalid, "registration of VM "+strconv.Quote(name)+" cannot be decoded", "correct the program that writes it")
+	}
+	address, err := netip.ParseAddrPort(member.Address)
+	if member.Name != name || err != nil || address.Port() == 0 {
+		return member, errs.New(errs.Invalid, "registration of VM "+strconv.Quote(name)+" has another name or no valid address", "correct the program that writes it")
+	}
+	return member, nil
+}
+
 // register keeps this VM registered in the store until ctx ends, and then removes the
 // registration.
 func (f *follower) register(ctx context.Context) {
