gateway, platform: changes that do not fit into one response of the store are listed in pages

What callers saw: a VM that reads for all stopped following the store after another writer had written some records of 1 MB, and with it all others: each Watch returned more than 8 MiB, was refused and asked for again, until the store dropped its history. Servers that left stayed in use, and configurations were not in force.

Red before: TestChangesThatDoNotFitIntoAResponseAreListed (a server registered after 12 such records was not known within 5 s).

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lacewingmount.dev/catalog"
@@ -119,6 +120,10 @@
 		f.g.log.Info("store has dropped its history of changes; reading all items", zap.Uint64("after", after))
 		return f.readAll(ctx)
 	}
+	if errors.Is(err, platform.ErrResponseTooLong) {
+		f.g.log.Warn("changes do not fit into one response of the store; reading all items", zap.Uint64("after", after), zap.Error(err))
+		return f.readAll(ctx)
+	}
 	if err != nil {
 		f.markStoreFailed(ctx, started, err)
 		return false
--- a/gateway/oddrecord_test.go
+++ b/gateway/oddrecord_test.go
@@ -48,3 +48,17 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// Guards against a VM that asks again and again for changes that do not fit into one response:
+// another writer has written many records of 1 MB.
+func TestChangesThatDoNotFitIntoAResponseAreListed(t *testing.T) {
+	f := newFleet(t, 2)
+	f.configure(defaultParameters)
+	v := f.startReady("vm-1")
+	for i := range 12 {
+		f.store.Put(fmt.Sprintf("other/%d", i), []byte(strings.Repeat("x", 1<<20)))
+	}
+	late := platformtest.NewServer(t, "late")
+	f.store.Put(platform.ServersPrefix+"late", late.Record("svc", "ready", 1))
+	f.waitFor("the VM knows the server that was registered after them", func() bool { return v.isRegistered("late") })
+}
