entry: a stop refuses requests that come late on open connections

What callers saw: an operator of a similar system reported requests that were taken late in a planned stop and cut at its end. On the path of entry and agent that could happen: as long as one request was in flight, each open connection could bring one more, an upload too, at any time. The stop then lasted longer than the kill delay that docs/OPERATIONS.md asks for, and SIGKILL cut what was left.

Change: requests that come later than 3 s after drain_delay are refused as not run (reason "stopping"), with Connection: close. The earlier tests, in which requests come up to 2 s after drain_delay, hold as they are.

Red before: TestProofShutdownRefusesRequestsThatComeLate (200 instead of 503).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	authority       *authority
 	inFlight        *inFlight
 	stopping        atomic.Bool
+	acceptsUntil    atomic.Pointer[time.Time] // end of the time in which a stopping entry serves new requests; nil before the stop
 	reportRequested chan struct{}
 }
 
@@ -128,6 +129,10 @@
 		e.refuse(x, "start", refuseNotRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").retryAfter(time.Second))
 		return
 	}
+	if until := e.acceptsUntil.Load(); until != nil && x.Started.After(*until) {
+		e.refuse(x, "start", refuseNotRun(http.StatusServiceUnavailable, ReasonStopping, "the VM stops").retryAfter(time.Second))
+		return
+	}
 	for _, stage := range e.stages {
 		if refusal := stage.Serve(x); refusal != nil {
 			e.refuse(x, stage.Name(), refusal)
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -47,6 +47,7 @@
 	ReasonServerFailed Reason = "server-failed"     // no valid complete response from a backend server
 	ReasonTimeout      Reason = "timeout"           // no complete response before the deadline
 	ReasonNotReady     Reason = "not-ready"         // the VM has no configuration yet
+	ReasonStopping     Reason = "stopping"          // the VM is about to end
 	ReasonAuthority    Reason = "no-key-authority"  // the VM cannot check whether keys were withdrawn
 )
 
--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -224,3 +224,41 @@
 	caller.wantLastAnswer(t)
 	<-s.stopped
 }
+
+// TestProofShutdownRefusesRequestsThatComeLate guards against a stop that takes requests for as
+// long as any other one lasts, until the process is killed. Load: one request of 3.4 s, and idle
+// connections on which a request comes 1.5 s and 3.2 s after the drain delay.
+func TestProofShutdownRefusesRequestsThatComeLate(t *testing.T) {
+	release := make(chan struct{})
+	s := newStoppableEntry(t, func(c *rawConn, nth int) {
+		for c.read() != nil {
+			if nth == 1 {
+				<-release
+			}
+			c.send(okResponse)
+		}
+	}, plainListener)
+	long, inTime, late := s.dial(t), s.dial(t), s.dial(t)
+	long.send(t, "/read")
+	for s.entry.inFlight.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, caller := range []*testCaller{inTime, late} {
+		caller.send(t, "/read")
+		caller.finish(t, caller.receive(t))
+	}
+	s.stop()
+	time.Sleep(testDrainDelay + lateRequestsTime/2)
+	inTime.send(t, "/read")
+	inTime.wantLastAnswer(t)
+	time.Sleep(lateRequestsTime/2 + 200*time.Millisecond)
+	late.send(t, "/read")
+	answer := late.receive(t)
+	late.finish(t, answer)
+	if answer.StatusCode != http.StatusServiceUnavailable || Outcome(answer.Header.Get(OutcomeHeader)) != OutcomeNotRun || answer.Header.Get("Retry-After") == "" || !answer.Close {
+		t.Errorf("the late request ends with %d, %v", answer.StatusCode, answer.Header)
+	}
+	close(release)
+	long.wantLastAnswer(t)
+	<-s.stopped
+}
