--- a/gateway/rawcaller_test.go
+++ b/gateway/rawcaller_test.go
@@ -23,6 +23,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newRawCaller(t, conn)
+}
+
+// newRawCaller returns a caller with the connection, which is usable for 30 s.
+func newRawCaller(t *testing.T, conn net.Conn) *rawCaller {
+	t.Helper()
 	t.Cleanup(func() { _ = conn.Close() })
 	if err := conn.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
 		t.Fatal(err)
