gateway: a head that contains the status line of another answer is no answer

A server that sends a part of a second copy and then the answer itself, on one connection: the part's last line is completed by the status line of the answer, so that the headers of the answer, with its ID and signature, stand under the status of the copy. A request that had run was taken for refused (then it runs twice, or its caller is told "not run"), and a failure for a success.

Change: an answer with a status line in its status text or in a header value is an error of the exchange; what the request's outcome is then is not known, and the caller is told no promise.

On the path of entry and agent answers have no ID, and any stray answer between the check of an idle connection and the write is taken there (docs/PROOFS.md, open findings); only safe requests use connections again there, and a refused sending closes its connection.

--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -39,6 +40,7 @@
 var (
 	errOtherRequest      = errors.New("the server sent answers to other requests only")
 	errUnsigned          = errors.New("the server sent a success status without its signature")
+	errTwoHeads          = errors.New("the head of the answer contains the status line of another one")
 	errSwitchedProtocols = errors.New("the server switched protocols without being asked")
 )
 
@@ -199,6 +201,9 @@
 		if err != nil {
 			return err
 		}
+		if holdsStatusLine(response) {
+			return errTwoHeads
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errSwitchedProtocols
 		}
@@ -218,6 +223,20 @@
 	return errOtherRequest
 }
 
+// holdsStatusLine reports whether the head of an answer broke off in a line that the status
+// line of the next answer completed. Then the headers of one answer stand under the status of
+// the other.
+func holdsStatusLine(response *http.Response) bool {
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return statusLine.MatchString(response.Status)
+}
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}\b`)
+
 // write sends the head and a short body in one call, or both in the background if the
 // body is long.
 func (x *exchange) write(request *outbound) error {
--- a/gateway/interleaved_test.go
+++ b/gateway/interleaved_test.go
@@ -45,6 +45,7 @@
 
 const (
 	ownAnswer   = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\nContent-Length: 3\r\n\r\nown"
+	ownFailure  = "HTTP/1.1 500 X\r\nRequest-Id: r1\r\nServer-Signature: s\r\nContent-Length: 3\r\n\r\nown"
 	strayAnswer = "HTTP/1.1 503 X\r\nRequest-Id: r0\r\nNot-Executed: 1\r\nContent-Length: 5\r\n\r\nstray"
 )
 
@@ -64,3 +65,23 @@
 		}
 	}
 }
+
+// Guards against the head of half an answer that is completed by the head of the next one: the
+// outcome of one answer is taken for that of another.
+func TestHalfAnAnswerIsNotCompletedByTheNext(t *testing.T) {
+	for _, half := range []string{
+		"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nInstance-Id: ", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nInstance-Id: i-7", "HTTP/1.1 200 OK\r\nServer-Signature: ",
+		"HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: ", "HTTP/1.1 421 X\r\nInstance-Id: ", "HTTP/1.1 503 X\r\nNot-Executed: 1", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n",
+		"HTTP/1.1 503 ", "HTTP/1.1 200 ", "HTTP/1.1 200 O",
+	} {
+		for _, own := range []string{ownAnswer, ownFailure} {
+			x := exchangeWith(t, half+own)
+			if x.outcome == placement.Shed || x.outcome == placement.Misdirected || !x.sent {
+				t.Errorf("%q before %.15q: taken for a refusal", half, own)
+			}
+			if x.outcome == placement.Answered && own == ownFailure {
+				t.Errorf("%q before %.15q: taken for a success", half, own)
+			}
+		}
+	}
+}
