soak: servers refuse requests and double answers

What the users' own runs broke together (TWICE and REFUSED), as a fault of the soak: all ready servers of a service refuse every second request for 3 to 6 s, two thirds of them send one to three late copies of one answer in ten, also of refusals.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,10 @@
 	burstSize        = 4                       // configurations written in quick succession
 	maxStopDelay     = 2 * time.Second         // longest time between the stops of VMs that are stopped in series
 	removalDelay     = 2500 * time.Millisecond // time from a server's draining record until the record is removed
+	minDoublingTime  = 3 * time.Second         // shortest time in which servers refuse requests and double answers
+	maxCopies        = 3                       // late copies of one answer
+	doubledEvery     = 10                      // one answer in this many is doubled
+	doublingServers  = 3                       // one server in this many doubles none
 	settingsReadTime = time.Second             // a process has read its settings by this time after its start
 )
 
@@ -40,7 +45,7 @@
 var faults = []fault{
 	{3, pauseVM}, {3, killVM}, {1, killAllVMs}, {3, terminateVM}, {1, terminateAllVMs}, {2, reloadSettings},
 	{3, impairStoreLink}, {2, failStore}, {1, dropHistory}, {3, impairServerLink}, {9, changeServerBehavior}, {2, replaceServer},
-	{2, configureOnce}, {1, configureRapidly}, {2, impairCallerLink}, {4, limitServers}, {2, floodVM},
+	{2, configureOnce}, {1, configureRapidly}, {2, impairCallerLink}, {4, limitServers}, {2, floodVM}, {4, doubleAnswers},
 }
 
 // injectFaults starts faults at random times for the duration and waits until all have ended.
@@ -259,6 +264,40 @@
 	b.SetBehavior(func(string) platformtest.Behavior { return platformtest.Respond })
 }
 
+// doubleAnswers makes all ready servers refuse every second request and most of them send late
+// copies of a part of their answers, as many as the variant says.
+func doubleAnswers(env *testEnv, p faultParams) {
+	duration, copies := minDoublingTime+p.duration, 1+p.variant%maxCopies
+	var restore []func()
+	for i := range serverCount {
+		b := env.backendServer(i)
+		if b == nil {
+			break
+		}
+		defer env.beginDisturbance(b.ID)()
+		env.logEvent("event=doubles server=%s copies=%d for=%v", b.ID, copies, duration)
+		var requests, answers atomic.Int64
+		b.SetBehavior(func(string) platformtest.Behavior {
+			return []platformtest.Behavior{platformtest.Respond, platformtest.Shed}[requests.Add(1)%2]
+		})
+		restore = append(restore, func() { b.SetBehavior(func(string) platformtest.Behavior { return platformtest.Respond }) })
+		if i%doublingServers == 0 {
+			continue
+		}
+		b.SetLateCopies(func(string) int {
+			if answers.Add(1)%doubledEvery == 0 {
+				return copies
+			}
+			return 0
+		})
+		restore = append(restore, func() { b.SetLateCopies(func(string) int { return 0 }) })
+	}
+	time.Sleep(duration)
+	for _, f := range restore {
+		f()
+	}
+}
+
 // backendServer returns a ready backend server chosen by the index, or nil if at most
 // half of the initial number are left.
 func (env *testEnv) backendServer(index int) *backendServer {
