daemon: the end of a process waits 80 ms at most for its log to be written

Cause: at its end the program waits until its log is written, without a bound. Output that stands still, a reader or, as here, the disk, keeps the process until SIGKILL.

Change: Sync fails after 80 ms, less than the margin between the end of the last answer and SIGKILL.

Red before: TestSyncDoesNotWaitForAReaderThatStandsStill.

--- a/cmd/lacewing-gateway/main.go
+++ b/cmd/lacewing-gateway/main.go
@@ -47,7 +47,7 @@
 	}
 	limitMemory(settings.MemoryMB)
 	log := daemon.NewOutputLogger("lacewing-gateway", settings.VM)
-	defer func() { _ = log.Sync() }()
+	defer func() { _ = log.Sync() }() // fails if the output stands still, where no error could be written either
 	g, err := gateway.New(settings, log)
 	if err != nil {
 		return err
--- a/daemon/output.go
+++ b/daemon/output.go
@@ -5,12 +5,18 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"lacewingmount.dev/errs"
 )
 
-const outputQueueLines = 4096 // log lines queued for a slow reader; about 1 MB
+const (
+	outputQueueLines = 4096                  // log lines queued for a slow reader; about 1 MB
+	maxSyncTime      = 80 * time.Millisecond // a stop may take until this long before the process is killed
+)
 
 // NewOutputLogger returns a logger that writes one line of key=value pairs per
 // event to standard output. It never blocks: when the queue for a slow reader is
@@ -58,13 +64,26 @@
 	return len(line), nil
 }
 
-// Sync waits until the lines queued before it are written.
+// Sync waits until the lines queued before it are written. It fails after maxSyncTime: a
+// reader or a disk that stands still must not keep the process from its end.
 func (w *queuedWriter) Sync() error {
+	timeout := time.NewTimer(maxSyncTime)
+	defer timeout.Stop()
 	written := make(chan struct{})
-	w.queue <- queuedLine{written: written}
-	<-written
-	return nil
+	select {
+	case w.queue <- queuedLine{written: written}:
+	case <-timeout.C:
+		return errNotWritten
+	}
+	select {
+	case <-written:
+		return nil
+	case <-timeout.C:
+		return errNotWritten
+	}
 }
 
+var errNotWritten = errs.New(errs.Unavailable, "the last log lines were not written within "+maxSyncTime.String(), "read the program's output faster")
+
 // droppedLines counts log lines that were dropped or could not be written.
 var droppedLines = metrics.GetOrCreateCounter("lacewing_log_dropped_lines_total")
--- a/daemon/output_test.go
+++ b/daemon/output_test.go
@@ -100,3 +100,25 @@
 		t.Error("Sync returned before the lines were written")
 	}
 }
+
+// Guards against a process that outlasts its grace period because nobody reads its output, or
+// the disk stands still. Load: a queue with a few lines, and a full one.
+func TestSyncDoesNotWaitForAReaderThatStandsStill(t *testing.T) {
+	for _, lines := range []int{3, 100} {
+		_, writer := io.Pipe() // nobody reads
+		out := newQueuedWriter(writer, 8)
+		for range lines {
+			_, _ = out.Write([]byte("line\n"))
+		}
+		synced := make(chan error, 1)
+		go func() { synced <- out.Sync() }()
+		select {
+		case err := <-synced:
+			if err == nil {
+				t.Error("Sync reports lines as written that nobody has read")
+			}
+		case <-time.After(time.Second):
+			t.Errorf("with %d lines, Sync waits for the reader", lines)
+		}
+	}
+}
