entry: the test of late requests holds the stop with an upload, which has no timeout

Traced: the request that held the stop had the route's timeout of 4 s, 0.7 s more than the test sleeps. Under load it ended first, the stop was over, and the connection of the late request was closed, as it should.

An upload has no timeout and holds the stop until the test ends it. What is checked is the same. The request in time comes 0.5 s after the drain delay instead of 1.5 s, so that a stall of up to 2.5 s does not make it late. Passed three times; fails without the refusal.

--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -226,8 +226,8 @@
 }
 
 // TestProofShutdownRefusesRequestsThatComeLate guards against a stop that takes requests for as
-// long as any other one lasts, until the process is killed. Load: one request of 3.4 s, and idle
-// connections on which a request comes 1.5 s and 3.2 s after the drain delay.
+// long as any other one lasts, until the process is killed. Load: one upload that lasts longer than
+// that, and idle connections on which a request comes 0.5 s and 3.2 s after the drain delay.
 func TestProofShutdownRefusesRequestsThatComeLate(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
@@ -240,7 +240,9 @@
 		}
 	}, plainListener)
 	long, inTime, late := s.dial(t), s.dial(t), s.dial(t)
-	long.send(t, "/read")
+	if _, err := fmt.Fprintf(long.conn, "POST /upload HTTP/1.1\r\nHost: entry\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", keys.Header, testKey); err != nil {
+		t.Fatal(err)
+	}
 	for s.entry.inFlight.count() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -249,10 +251,10 @@
 		caller.finish(t, caller.receive(t))
 	}
 	s.stop()
-	time.Sleep(testDrainDelay + lateRequestsTime/2)
+	time.Sleep(testDrainDelay + lateRequestsTime/6)
 	inTime.send(t, "/read")
 	inTime.wantLastAnswer(t)
-	time.Sleep(lateRequestsTime/2 + 200*time.Millisecond)
+	time.Sleep(lateRequestsTime*5/6 + 200*time.Millisecond)
 	late.send(t, "/read")
 	answer := late.receive(t)
 	late.finish(t, answer)
