entry: the test of late requests waits until the server holds its request

The trace in was wrong: the handler holds the server's first connection, and the test sent the next requests as soon as the entry had begun the upload, not when the server had it. Under load one of them got the first connection, timed out after 4 s, and nothing held the stop; 4 s and the test's own 3.3 s are the 7.3 s, and 4 and 1.6 s the 5.6 s of the first failure.

The test now waits until the server has read the upload. What is checked is the same.

--- a/entry/shutdown_conns_test.go
+++ b/entry/shutdown_conns_test.go
@@ -230,10 +230,11 @@
 // that, and idle connections on which a request comes 0.5 s and 3.2 s after the drain delay.
 func TestProofShutdownRefusesRequestsThatComeLate(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
+	held, release := make(chan struct{}), make(chan struct{})
 	s := newStoppableEntry(t, func(c *rawConn, nth int) {
 		for c.read() != nil {
 			if nth == 1 {
+				close(held)
 				<-release
 			}
 			c.send(okResponse)
@@ -243,9 +244,7 @@
 	if _, err := fmt.Fprintf(long.conn, "POST /upload HTTP/1.1\r\nHost: entry\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", keys.Header, testKey); err != nil {
 		t.Fatal(err)
 	}
-	for s.entry.inFlight.count() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-held // the other requests must not get the server's first connection
 	for _, caller := range []*testCaller{inTime, late} {
 		caller.send(t, "/read")
 		caller.finish(t, caller.receive(t))
