gateway, placement: one file for each stage of a request, and one for capacity

Change: code moved to identify.go, body.go, admit.go, forward.go, answer.go, requestline.go and header.go; expectedWait and retryAfter moved to placement/capacity.go. No change of logic. Measured: the tests of gateway and placement pass.

--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lacewingmount.dev/placement"
+	"lacewingmount.dev/platform"
+)
+
+// deadlineRefusal returns the refusal of a request that has no time left for another
+// attempt.
+func (q *request) deadlineRefusal() *refusal {
+	for _, t := range q.attempts {
+		if t.outcome != placement.Unreachable && t.outcome != placement.Shed && t.outcome != placement.Misdirected {
+			return &refusal{http.StatusGatewayTimeout, 0, "deadline exceeded after outcome " + t.outcome.String()}
+		}
+	}
+	return &refusal{http.StatusServiceUnavailable, shedRetryAfter, "deadline exceeded before a server ran the request"}
+}
+
+// placementRefusal returns the refusal of a request that was granted no server, or no
+// further one after failed attempts.
+func (q *request) placementRefusal(ctx context.Context, decision placementResult) *refusal {
+	if len(q.attempts) > 0 {
+		last := q.attempts[len(q.attempts)-1]
+		if q.mayHaveRun() {
+			return &refusal{http.StatusBadGateway, 0, "server " + last.outcome.String() + ", and no retry: " + decision.Reason}
+		}
+	}
+	retryAfter := decision.RetryAfter
+	if retryAfter <= 0 {
+		retryAfter = shedRetryAfter
+	}
+	if ctx.Err() != nil {
+		return q.deadlineRefusal()
+	}
+	return &refusal{http.StatusServiceUnavailable, retryAfter, decision.Reason}
+}
+
+// answer delivers the server's answer, or returns a refusal if there is none that
+// callers may get.
+func (q *request) answer(ctx context.Context, x *exchange) *refusal {
+	switch {
+	case x.outcome == placement.Shed || x.outcome == placement.Misdirected:
+		if q.mayHaveRun() {
+			return &refusal{http.StatusBadGateway, 0, "no server accepted the retry"}
+		}
+		return &refusal{http.StatusServiceUnavailable, shedRetryAfter, "none of the servers tried accepted the request"}
+	case x.err != nil && errors.Is(context.Cause(ctx), errStopping):
+		return &refusal{http.StatusGatewayTimeout, 0, "server did not answer before the end of this VM's grace period"}
+	case x.err != nil && q.r.Context().Err() != nil:
+		return &refusal{http.StatusBadGateway, 0, "caller left"}
+	case x.err != nil && ctx.Err() != nil:
+		return &refusal{http.StatusGatewayTimeout, 0, "server did not answer before the deadline"}
+	case x.err != nil:
+		return &refusal{http.StatusBadGateway, 0, "no complete answer from the server: " + x.err.Error()}
+	case statusMeansNotRun(x.status):
+		return &refusal{http.StatusBadGateway, 0, "server answered " + strconv.Itoa(x.status) + " and may have run the request"}
+	}
+	header := q.w.Header()
+	for name, values := range endToEnd(x.header) {
+		header[name] = values
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		header["Content-Type"] = nil // otherwise net/http sets one from the content
+	}
+	switch {
+	case x.rest == nil && q.r.Method != http.MethodHead:
+		header.Set("Content-Length", strconv.Itoa(len(x.body)))
+	case x.rest != nil && x.rest.ContentLength >= 0: // otherwise a cut is not visible to callers without chunks
+		header.Set("Content-Length", strconv.FormatInt(x.rest.ContentLength, 10))
+	}
+	q.closeIfStopping()
+	q.limitWrite()
+	q.w.WriteHeader(x.status)
+	q.progress = answerBegun
+	_, err := q.w.Write(x.body)
+	if err == nil && x.rest != nil {
+		err = q.stream(x)
+	}
+	q.progress = answerComplete
+	q.log(x.status, "", err)
+	return nil
+}
+
+// stream delivers the rest of a long answer. If the answer is cut short, it aborts the
+// caller's connection, so that the caller does not take the answer for complete.
+func (q *request) stream(x *exchange) error {
+	defer func() { _ = x.conn.Close() }()
+	if _, err := io.Copy(q.w, x.rest.Body); err != nil {
+		q.log(x.status, "answer was cut short after a part was delivered", err)
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// statusMeansNotRun reports whether callers may conclude from the status that the
+// request has not run and will not.
+func statusMeansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (q *request) closeIfStopping() {
+	if q.g.isStopping() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
+func (q *request) refuse(f *refusal) {
+	header := q.w.Header()
+	platform.SetRequestID(header, q.caller.RequestID)
+	if f.retryAfter > 0 {
+		platform.SetRetryAfter(header, f.retryAfter)
+	}
+	header["Content-Type"] = nil
+	header.Set("Content-Length", "0")
+	q.closeIfStopping()
+	unread := !q.bodyRead && q.r.Body != http.NoBody
+	connection := http.NewResponseController(q.w)
+	if unread {
+		_ = connection.EnableFullDuplex() // otherwise the answer waits for the end of the body
+	}
+	q.limitWrite()
+	q.w.WriteHeader(f.status)
+	q.progress = answerComplete
+	q.log(f.status, f.reason, nil)
+	if unread {
+		q.discardBody(connection)
+	}
+}
+
+// discardBody sends the answer and reads the body that was not needed: closing a
+// connection on which the caller still sends would reset it, and the answer could be
+// lost. If the body does not end in time, its rest must not be taken for a request.
+func (q *request) discardBody(connection *http.ResponseController) {
+	if err := connection.Flush(); err != nil {
+		return // the connection is broken
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(bodyDiscardTime)) // fails only on a closed connection, which the read reports
+	if _, err := io.CopyN(io.Discard, q.r.Body, maxBodyBytes); err != io.EOF {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// bodyDiscardTime limits the time in which the body of a refused request is read.
+const bodyDiscardTime = 2 * time.Second
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
@@ -369,3 +370,5 @@
 		g.log.Warn("home suspected", zap.String("home", owner), zap.String("reason", why))
 	}
 }
+
+var localPlacements = metrics.GetOrCreateCounter("lacewing_gateway_placed_alone_total")
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -6,16 +6,11 @@
 )
 
 const (
-	minRetryAfter      = 200 * time.Millisecond // a caller that returns sooner finds the same queue
-	maxRetryAfter      = 3 * time.Second        // callers wait for up to a third of their time limit
-	maxLimitRetryAfter = time.Minute            // while all servers have reached their limits; callers that return earlier are refused again
-	noServerRetryAfter = 500 * time.Millisecond // when there is no server; registrations change about every second
-	maxDispatchScan    = 32                     // queued requests that are examined for a free slot in one dispatch
-	lateWaitShare      = 0.5                    // share of the time left that a request may wait if it can no longer meet its target latency
-	admitWaitShare     = 0.85                   // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
-	expireWaitShare    = 1.25                   // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
-	minSlotWait        = 10 * time.Microsecond  // lower bound of the expected wait for a slot; no service has 100,000 requests a second at one owner
-	unusableThreshold  = 0.6                    // failing probability from which a server does not count as capacity
+	maxLimitRetryAfter = time.Minute // while all servers have reached their limits; callers that return earlier are refused again
+	maxDispatchScan    = 32          // queued requests that are examined for a free slot in one dispatch
+	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
+	admitWaitShare     = 0.85        // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
+	expireWaitShare    = 1.25        // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
 )
 
 // queued is a request that waits for a slot.
@@ -180,31 +175,7 @@
 	return min(maxLimitRetryAfter, max(minRetryAfter, wait))
 }
 
-// expectedWait returns the expected time until the given number of requests have
-// been granted a slot.
-func (b *Broker) expectedWait(now time.Time, requests int) time.Duration {
-	mean, slots := b.latencyEstimate.meanLatency(), 0.0
-	for _, s := range b.serversByID {
-		if !s.Draining && s.health.failingProbability(now, b.share.value) < unusableThreshold {
-			slots += s.usableSlots(now, mean)
-		}
-	}
-	if slots == 0 {
-		slots = float64(max(1, len(b.serversByID)))
-	}
-	return time.Duration(float64(mean) * float64(requests) / slots)
-}
-
 func (b *Broker) refuse(now time.Time, id RequestID, reason string, after time.Duration) Decision {
 	b.inUseFloor.observeUnserved(now)
 	return Decision{ID: id, Verdict: Refused, Reason: reason, RetryAfter: after, Queue: len(b.queue), AtLimit: b.limits.reached}
 }
-
-// retryAfter returns the expected time until the queue has been served, within
-// minRetryAfter and maxRetryAfter.
-func (b *Broker) retryAfter(now time.Time) time.Duration {
-	if len(b.serversByID) == 0 {
-		return noServerRetryAfter
-	}
-	return min(maxRetryAfter, max(minRetryAfter, b.expectedWait(now, len(b.queue))))
-}
