placement: a server that only some VMs cannot reach is not down

Cause: two VMs without a path to a server paused it for all VMs for 1 s, again and again. Change: failed connections count as a server's failure only if it has answered no request that began after them.

--- a/placement/server.go
+++ b/placement/server.go
@@ -117,16 +117,17 @@
 }
 
 // backOffPath makes a VM avoid the server for unreachableBackoff, because it cannot
-// reach it. A server that downMinVMs VMs cannot reach counts as down.
+// reach it. A server that downMinVMs VMs cannot reach counts as down, unless it has
+// answered a request that began after their attempts: then only some paths are cut.
 func (s *server) backOffPath(now time.Time, vm string) {
 	s.avoidedUntil[vm] = now.Add(unreachableBackoff)
-	avoiding := 0
+	failedPaths := 0
 	for _, until := range s.avoidedUntil {
-		if now.Before(until) {
-			avoiding++
+		if now.Before(until) && until.Add(-unreachableBackoff).After(s.health.lastSuccess) {
+			failedPaths++
 		}
 	}
-	if avoiding >= downMinVMs {
+	if failedPaths >= downMinVMs {
 		s.downUntil = now.Add(downBackoff)
 	}
 }
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -19,7 +19,8 @@
 	refused     map[string]int
 	work        time.Duration // processing time of each request
 	granted     []uint64
-	shedShare   float64 // share of the requests that servers refuse without running them; the caller's VM sends these again
+	unreachable func(vm, server string) bool // whether the VM cannot connect to the server; nil if all can
+	shedShare   float64                      // share of the requests that servers refuse without running them; the caller's VM sends these again
 	random      *rand.Rand
 	open        map[RequestID]simCall // calls whose request has not ended
 	latencies   []time.Duration       // of the answered calls
@@ -45,6 +46,8 @@
 	result Outcome
 }
 
+const unreachableTime = 150 * time.Millisecond // until a VM gives up connecting to a server
+
 const step = 5 * time.Millisecond // resolution of the virtual time
 
 var testPolicy = Policy{Retries: RetryBudget{Ratio: 0.2, Allowance: 64, Window: 10 * time.Second}, MinServers: 0.7}
@@ -92,6 +95,9 @@
 			if sim.random.Float64() < sim.shedShare {
 				r.ends, r.took, r.result = sim.now.Add(5*time.Millisecond), 5*time.Millisecond, Shed
 			}
+			if sim.unreachable != nil && sim.unreachable(d.ID.VM, d.Server) {
+				r.ends, r.took, r.result = sim.now.Add(unreachableTime), unreachableTime, Unreachable
+			}
 			sim.lastUsed[d.Server] = sim.now
 			sim.granted = append(sim.granted, d.ID.Seq)
 			sim.running = append(sim.running, r)
