placement: failing servers are probed each 3.7 s, not each 1.7 s

The operators count a server as healthy only 2 s after a failure of its own, so it need not have had a request before. Change: a server that has just failed a request counts neither as in use nor as idle for 2 s, and then as idle after the usual 1.7 s.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -45,14 +45,17 @@
 		if s.Draining {
 			continue
 		}
-		ready++
-		nearlyIdle := now.Sub(s.used) >= nearlyIdleAfter
+		recovering := s.recovering(now)
+		nearlyIdle := !recovering && now.Sub(s.used) >= nearlyIdleAfter
 		withinLimit := b.fillLimit(now, s)
 		if !withinLimit {
 			b.limits.reached++
 		}
-		if !nearlyIdle || !withinLimit { // a server that has had all that it accepts is in use
-			used++
+		if !recovering {
+			ready++
+			if !nearlyIdle || !withinLimit { // a server that has had all that it accepts is in use
+				used++
+			}
 		}
 		s.observeRunning(now, b.latencyEstimate.fastFailureLimit())
 		failingProbability := s.health.failingProbability(now, b.share.value)
