gateway: updates cross availability zones twice for each zone, not once for most VMs

Change: a tree for each zone, with two roots that get the update from its origin and have the same children.

--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -68,6 +69,37 @@
 	}
 }
 
+// Load: updates to 98 VMs in three zones, one of which has lost the VM that would relay to
+// it. Each VM that lives gets the update, and it crosses zones only twice for each zone.
+func TestTreeCrossesZonesFewTimes(t *testing.T) {
+	var members []membership.Member
+	for i := range 98 {
+		members = append(members, membership.Member{Name: fmt.Sprintf("vm-%02d", (i*37)%98), Zone: fmt.Sprintf("zone-%d", i%3)})
+	}
+	origin := members[40]
+	for _, lost := range []string{"", "vm-00", "vm-37", "vm-74"} {
+		got, crossed := map[string]bool{origin.Name: true}, 0
+		for reach := []membership.Member{origin}; len(reach) > 0; reach = reach[1:] {
+			for _, member := range children(slices.Clone(members), origin.Name, reach[0].Name) {
+				if member.Zone != reach[0].Zone {
+					crossed++
+				}
+				if member.Name != lost && !got[member.Name] {
+					got[member.Name] = true
+					reach = append(reach, member)
+				}
+			}
+		}
+		alive := len(members)
+		if lost != "" {
+			alive--
+		}
+		if len(got) != alive || crossed != 4 {
+			t.Errorf("without %q, %d of %d VMs are reached, and the update crosses zones %d times", lost, len(got), alive, crossed)
+		}
+	}
+}
+
 // Load: an update that is longer than a datagram. It is not sent in part; the receivers
 // notice the difference and fetch the contents.
 func TestMessageLongerThanADatagramIsNotSent(t *testing.T) {
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -21,7 +21,8 @@
 const (
 	fetchDelay       = 250 * time.Millisecond // before a fetch; changes may still arrive through the tree
 	maxDirectMembers = 16                     // with more members, changes are sent along a tree
-	treeWidth        = 6                      // members per node; three levels reach 258 VMs
+	treeWidth        = 6                      // members per node; three levels reach 258 VMs of a zone
+	zoneRoots        = 2                      // VMs of each other zone to which the origin of an update sends it
 	minFetchInterval = 200 * time.Millisecond // between fetches from other VMs
 	fetchTimeout     = 500 * time.Millisecond
 	maxContents      = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
@@ -54,27 +55,55 @@
 	}
 }
 
-// children returns the members to which self relays an update of origin. They form a
-// tree over all members in the order of their names, with origin as the root and up to
-// treeWidth children per node. children sorts the members in place.
+// children returns the members to which self relays an update of origin. Each
+// availability zone has a tree of its own over its members in the order of their names,
+// with up to treeWidth children per node, so that an update crosses zones zoneRoots times
+// for each other zone. The root in origin's zone is origin. Another zone has zoneRoots
+// roots with the same children, so that the loss of one of them delays nobody.
 func children(members []membership.Member, origin, self string) []membership.Member {
-	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
-	position := func(name string) int {
-		return slices.IndexFunc(members, func(m membership.Member) bool { return m.Name == name })
+	zones := map[string][]membership.Member{}
+	var root, own membership.Member
+	for _, m := range members {
+		zones[m.Zone] = append(zones[m.Zone], m)
+		if m.Name == origin {
+			root = m
+		}
+		if m.Name == self {
+			own = m
+		}
 	}
-	root, own := position(origin), position(self)
-	if root < 0 || own < 0 {
+	if root.Name == "" || own.Name == "" {
 		return nil
 	}
-	n := len(members)
-	var result []membership.Member
-	first := (own-root+n)%n*treeWidth + 1
-	for i := first; i < min(n, first+treeWidth); i++ {
-		result = append(result, members[(root+i)%n])
+	for _, inZone := range zones {
+		slices.SortFunc(inZone, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
+	}
+	if own.Zone != root.Zone {
+		return zoneChildren(zones[own.Zone], min(zoneRoots, len(zones[own.Zone])), self)
+	}
+	inZone := slices.DeleteFunc(zones[root.Zone], func(m membership.Member) bool { return m.Name == origin })
+	inZone = slices.Insert(inZone, 0, root)
+	result := zoneChildren(inZone, 1, self)
+	if self != origin {
+		return result
+	}
+	for zone, others := range zones {
+		if zone != root.Zone {
+			result = append(result, others[:min(zoneRoots, len(others))]...)
+		}
 	}
 	return result
 }
 
+// zoneChildren returns the children of self in the tree of its zone, whose first members
+// are the roots.
+func zoneChildren(inZone []membership.Member, roots int, self string) []membership.Member {
+	own := slices.IndexFunc(inZone, func(m membership.Member) bool { return m.Name == self })
+	node := max(0, own-roots+1) // all roots are node 0
+	first := min(len(inZone), roots+node*treeWidth)
+	return inZone[first:min(len(inZone), first+treeWidth)]
+}
+
 // onMessage applies an update from another VM, relays it if needed, and fetches the
 // sender's catalog if the two still differ after fetchDelay.
 func (f *follower) onMessage(ctx context.Context, from membership.Member, message *update) {
