gateway, placement, catalog: evacuation of an availability zone

Cause: the key op/evacuate/ZONE had no effect. Change: an evacuation is an item of the catalog, with revision and digest, and marks the servers of its zone for all Brokers, which grant them nothing and do not count them for the floor, waits and limits. A VM checks the zone after the grant and again after connecting, and returns the slot unused. A service without other zones refuses at once, waiting requests included.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +17,9 @@
 const tombstoneTTL = 60 * time.Second
 
 // Change is the decoded new value of one store item, or its removal. Exactly one of
-// Server, VM and Config is set, unless Removed is true.
+// Server, VM and Config is set, unless Removed is true or the key starts with
+// platform.EvacuatePrefix. The key of an evacuation says all, so that it needs no field that VMs
+// of earlier versions cannot decode.
 type Change struct {
 	Key      string
 	Revision uint64
@@ -29,6 +33,7 @@
 type Effect struct {
 	Servers bool             // whether a server changed
 	VMs     bool             // whether a VM changed
+	Zones   bool             // whether the evacuated zones changed
 	Config  *platform.Config // configuration now in force; nil if unchanged
 	Forward []Change         // changes to forward to other VMs
 	Errors  []error          // one for each item skipped as invalid
@@ -115,6 +120,7 @@
 func (c *Catalog) addEffect(change Change, effect *Effect) {
 	effect.Servers = effect.Servers || change.Server != nil
 	effect.VMs = effect.VMs || change.VM != nil
+	effect.Zones = effect.Zones || strings.HasPrefix(change.Key, platform.EvacuatePrefix)
 	if change.Removed {
 		change.Server, change.VM = nil, nil
 	}
@@ -197,6 +203,18 @@
 	return servers
 }
 
+// EvacuatedZones returns the availability zones that the operators evacuate, in order.
+func (c *Catalog) EvacuatedZones() []string {
+	var zones []string
+	for key, i := range c.items {
+		if zone, ok := strings.CutPrefix(key, platform.EvacuatePrefix); ok && !i.Removed {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // VMs returns the registered VMs.
 func (c *Catalog) VMs() []membership.Member {
 	var members []membership.Member
@@ -251,6 +269,8 @@
 	case change.VM != nil:
 		m := change.VM
 		return hash(change.Key, m.Address, m.Zone, strconv.FormatUint(m.Incarnation, 10))
+	case strings.HasPrefix(change.Key, platform.EvacuatePrefix):
+		return hash(change.Key)
 	}
 	return 0
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -149,3 +149,36 @@
 		t.Errorf("the removal of c was pruned, so all four items are wanted; got %+v, complete %t", changes, complete)
 	}
 }
+
+// Guards against an evacuation that is lost on the way to another VM, that a VM cannot notice by
+// the digest, or that outlasts its key: removed by a change, or missing from a complete listing.
+func TestEvacuationLastsUntilItsKeyIsRemoved(t *testing.T) {
+	key := platform.EvacuatePrefix + "zone-b"
+	c, other := New(), New()
+	c.Apply(start, []Change{server("a", 5, false)})
+	before := c.Digest()
+	effect := c.Apply(start, []Change{{Key: key, Revision: 6}})
+	if !effect.Zones || len(effect.Forward) != 1 || c.Digest() == before {
+		t.Errorf("the evacuation has the effect %+v", effect)
+	}
+	if effect = c.Apply(start, []Change{{Key: key, Revision: 7}}); effect.Zones || len(effect.Forward) > 0 {
+		t.Errorf("writing the key again has the effect %+v", effect)
+	}
+	all, _ := c.Changes(0)
+	other.Replace(start, all, 8)
+	if zones := other.EvacuatedZones(); len(zones) != 1 || zones[0] != "zone-b" || other.Digest() != c.Digest() {
+		t.Errorf("after a fetch of the contents the evacuated zones are %q", zones)
+	}
+	c.MarkStoreDown(start)
+	c.MarkStoreUp(start.Add(time.Minute))
+	if effect = c.Replace(start.Add(time.Minute), []Change{server("a", 5, false)}, 30); !effect.Zones || len(c.EvacuatedZones()) != 0 || c.Digest() != before {
+		t.Errorf("after a listing without the key, %q are evacuated", c.EvacuatedZones())
+	}
+	if effect = other.Apply(start, []Change{{Key: key, Revision: 9, Removed: true}}); !effect.Zones || len(other.EvacuatedZones()) != 0 {
+		t.Errorf("after the removal of the key, %q are evacuated", other.EvacuatedZones())
+	}
+	other.Apply(start, []Change{{Key: key, Revision: 6}})
+	if len(other.EvacuatedZones()) != 0 {
+		t.Error("a late message restored the evacuation")
+	}
+}
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -118,6 +118,7 @@
 	method, uri, host, id string
 	header                http.Header
 	body                  []byte
+	checkZone             func() error // called right before the request is sent, which an error prevents; may be nil
 }
 
 // exchange is one attempt of a request at one server.
@@ -155,6 +156,13 @@
 		}
 		return x
 	}
+	if request.checkZone != nil { // connecting may have taken backendDialTimeout
+		if err := request.checkZone(); err != nil {
+			_ = conn.Close()
+			x.outcome, x.err, x.took = placement.Unused, err, time.Since(started)
+			return x
+		}
+	}
 	x.conn, x.reused, x.sent = conn, conn.reused, true
 	conn.sent.add(request.id)
 	_ = conn.SetDeadline(deadline) // fails only on a closed connection, which the write reports
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -224,6 +224,7 @@
 				continue
 			}
 			change.VM = &member
+		case isEvacuation(item.Key): // the value has no meaning
 		default:
 			continue
 		}
@@ -246,7 +247,7 @@
 		f.mu.Unlock()
 		f.g.peers.setRegistered(f.g.now(), registered)
 	}
-	if effect.Servers {
+	if effect.Servers || effect.Zones {
 		f.refreshServers(source)
 	}
 	// The first configuration lets requests in, so it comes after their servers.
@@ -258,13 +259,13 @@
 	}
 }
 
-// refreshServers puts the usable servers of the catalog into force. The caller holds
-// applying.
+// refreshServers puts the usable servers and the evacuated zones of the catalog into force. The
+// caller holds applying.
 func (f *follower) refreshServers(source string) {
 	f.mu.Lock()
-	servers := f.catalog.Servers(time.Now())
+	servers, evacuated := f.catalog.Servers(time.Now()), f.catalog.EvacuatedZones()
 	f.mu.Unlock()
-	f.g.setServers(servers, source)
+	f.g.setServers(servers, evacuated, source)
 }
 
 // tick drops the servers whose records have not reappeared after an outage of the store.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -46,7 +46,16 @@
 			plan.exclude(decision.Server)
 			continue
 		}
+		if q.g.isEvacuated(server.Zone) {
+			q.g.complete(q.service, slotRequest.ID.Seq, decision.Owner, ending{outcome: placement.Unused})
+			q.excludeEvacuated(&plan, server.ID)
+			continue
+		}
 		x := q.tryServer(ctx, server, decision)
+		if errors.Is(x.err, errEvacuated) {
+			q.excludeEvacuated(&plan, server.ID)
+			continue
+		}
 		plan.record(server.ID, x.outcome)
 		if x.outcome == placement.Failed && x.rest == nil {
 			failedAnswer = x
@@ -97,9 +106,19 @@
 	forwarded.Apply(header)
 	sent := *q.outbound
 	sent.header = header
+	sent.checkZone = func() error {
+		if q.g.isEvacuated(server.Zone) {
+			return errEvacuated
+		}
+		return nil
+	}
 	x = &exchange{outcome: placement.Broken} // if the attempt panics
 	defer func() {
 		q.g.running.remove(q.service, seq)
+		if errors.Is(x.err, errEvacuated) { // the server did not get the request, so there was no attempt
+			q.g.complete(q.service, seq, decision.Owner, ending{outcome: placement.Unused})
+			return
+		}
 		q.g.complete(q.service, seq, decision.Owner, q.g.endingOf(q.service, server, x))
 		q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
 			Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 	table        atomic.Pointer[table]
 	loaded       chan struct{}                              // closed when the first configuration is in force
 	servers      atomic.Pointer[map[string]platform.Server] // by ID
+	evacuated    atomic.Pointer[[]string]                   // availability zones that the operators evacuate
 	owned        *brokers                                   // of services owned by this VM
 	localBrokers *brokers                                   // of this VM's requests only, used when an owner does not answer
 	quotas       *quotas                                    // of accounts owned by this VM
@@ -98,6 +99,7 @@
 	g.follower = newFollower(g, platform.NewStore(settings.Store))
 	servers := map[string]platform.Server{}
 	g.servers.Store(&servers)
+	g.evacuated.Store(&[]string{})
 	return g, nil
 }
 
@@ -342,8 +344,9 @@
 	}
 }
 
-// setServers applies the registered servers to all Brokers.
-func (g *Gateway) setServers(servers map[string][]platform.Server, source string) {
+// setServers applies the registered servers and the evacuated zones to all Brokers.
+func (g *Gateway) setServers(servers map[string][]platform.Server, evacuated []string, source string) {
+	g.setEvacuated(evacuated, source)
 	byID := map[string]platform.Server{}
 	for _, list := range servers {
 		for _, server := range list {
@@ -354,8 +357,8 @@
 	g.servers.Store(&byID)
 	g.logServers(before, byID, source)
 	now := g.now()
-	g.sendAllDecisions(g.owned.setServers(now, servers))
-	g.localBrokers.setServers(now, servers)
+	g.sendAllDecisions(g.owned.setServers(now, servers, evacuated))
+	g.localBrokers.setServers(now, servers, evacuated)
 }
 
 // logAvoidance logs that this VM, as owner of the service, starts or stops avoiding
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -302,14 +302,14 @@
 	})
 }
 
-// setServers replaces the registered servers of all services.
-func (b *brokers) setServers(now time.Time, servers map[string][]platform.Server) map[string][]placement.Decision {
+// setServers replaces the registered servers of all services, and the evacuated zones.
+func (b *brokers) setServers(now time.Time, servers map[string][]platform.Server, evacuated []string) map[string][]placement.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.servers = map[string][]placement.Server{}
 	for service, registered := range servers {
 		for _, s := range registered {
-			b.servers[service] = append(b.servers[service], placement.Server{ID: s.ID, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining, Cold: s.Cold, Born: s.Born})
+			b.servers[service] = append(b.servers[service], placement.Server{ID: s.ID, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining, Evacuated: slices.Contains(evacuated, s.Zone), Cold: s.Cold, Born: s.Born})
 		}
 	}
 	decisions := map[string][]placement.Decision{}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -77,7 +77,7 @@
 		return 1
 	})
 	b.assignLimits(now)
-	return b.dispatch(now)
+	return append(b.refuseEvacuated(now), b.dispatch(now)...)
 }
 
 // Request grants a slot to the request, queues it or refuses it. The decisions may
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -42,7 +42,7 @@
 	b.limits.reached = 0
 	b.limits.expireParts(now) // a process that was paused gets requests before its next tick
 	for _, s := range b.serversByID {
-		if s.Draining {
+		if !s.accepts() {
 			continue
 		}
 		ready++
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -15,16 +15,27 @@
 func (b *Broker) expectedWait(now time.Time, requests int) time.Duration {
 	mean, slots := b.latencyEstimate.meanLatency(), 0.0
 	for _, s := range b.serversByID {
-		if !s.Draining && s.health.failingProbability(now, b.share.value) < unusableThreshold {
+		if s.accepts() && s.health.failingProbability(now, b.share.value) < unusableThreshold {
 			slots += s.usableSlots(now, mean)
 		}
 	}
 	if slots == 0 {
-		slots = float64(max(1, len(b.serversByID)))
+		slots = float64(max(1, b.countNotEvacuated()))
 	}
 	return time.Duration(float64(mean) * float64(requests) / slots)
 }
 
+// countNotEvacuated returns the number of servers outside of evacuated zones.
+func (b *Broker) countNotEvacuated() int {
+	n := 0
+	for _, s := range b.serversByID {
+		if !s.Evacuated {
+			n++
+		}
+	}
+	return n
+}
+
 // retryAfter returns the expected time until the queue has been served, within
 // minRetryAfter and maxRetryAfter.
 func (b *Broker) retryAfter(now time.Time) time.Duration {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -133,14 +133,15 @@
 
 // Reasons to refuse a request.
 const (
-	noServerLeft  = "no server is left"
-	limitsReached = "all servers have reached the limits that they named"
+	noServerLeft   = "no server is left"
+	limitsReached  = "all servers have reached the limits that they named"
+	zonesEvacuated = "all servers are in evacuated zones"
 )
 
 // hasUsableServer reports whether the request may be sent to a server, now or later.
 func (b *Broker) hasUsableServer(now time.Time, r *queued) bool {
 	return slices.ContainsFunc(b.serversByID, func(s *server) bool {
-		return !s.Draining && r.mayUse(s) && s.reachableFrom(now, r.ID.VM)
+		return s.accepts() && r.mayUse(s) && s.reachableFrom(now, r.ID.VM)
 	})
 }
 
@@ -148,7 +149,7 @@
 // may try again, or "" if it can.
 func (b *Broker) rejectionReason(now time.Time, r *queued) (reason string, retryAfter time.Duration) {
 	if !b.hasUsableServer(now, r) {
-		return noServerLeft, b.retryAfter(now)
+		return b.refusalWithoutServer(now)
 	}
 	ahead := 0
 	for _, other := range b.queue {
--- a/placement/retryqueue.go
+++ b/placement/retryqueue.go
@@ -41,7 +41,8 @@
 // or the servers' limits are not expected to allow it in time.
 func (b *Broker) requestRetry(now time.Time, r *queued) []Decision {
 	if !b.hasUsableServer(now, r) {
-		return []Decision{b.refuse(now, r.ID, noServerLeft, b.retryAfter(now))}
+		reason, after := b.refusalWithoutServer(now)
+		return []Decision{b.refuse(now, r.ID, reason, after)}
 	}
 	position := b.retryQueue.add(r)
 	wait, reason := b.retryWait(now, r, position)
--- a/placement/server.go
+++ b/placement/server.go
@@ -24,7 +24,8 @@
 	probeStarted  time.Time              // start of a request that was sent while the server's state was unknown; zero if none is open
 	used          time.Time              // time of the newest grant; zero if there was none
 	joinedAt      time.Time
-	latency       float64 // mean of its answers, seconds; 0 if unknown
+	evacuatedAt   time.Time // since which its zone is evacuated
+	latency       float64   // mean of its answers, seconds; 0 if unknown
 	fullUntil     time.Time
 	downUntil     time.Time
 	running       map[RequestID]*grant
@@ -50,6 +51,9 @@
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
 		s.warmupUntil = warmupEnd
 	}
+	if registered.Evacuated && !s.Evacuated {
+		s.evacuatedAt = now
+	}
 	s.Server = registered
 }
 
@@ -59,7 +63,7 @@
 	if failingProbability > suspectThreshold {
 		slots = min(slots, 1+s.overdue) // overdue requests do not probe the present state
 	}
-	return !s.Draining && len(s.running) < slots && now.After(s.fullUntil) && now.After(s.downUntil)
+	return s.accepts() && len(s.running) < slots && now.After(s.fullUntil) && now.After(s.downUntil)
 }
 
 // reachableFrom reports whether the VM is not avoiding the server after a failed
--- a/placement/serverlimit.go
+++ b/placement/serverlimit.go
@@ -278,7 +278,7 @@
 func (b *Broker) limitWait(now time.Time, r *queued, ahead int) time.Duration {
 	perSecond, tokens := 0.0, 0.0
 	for _, s := range b.serversByID {
-		if s.Draining || !r.mayUse(s) || !s.reachableFrom(now, r.ID.VM) {
+		if !s.accepts() || !r.mayUse(s) || !s.reachableFrom(now, r.ID.VM) {
 			continue
 		}
 		rate, limited := s.limit.rate(now)
--- a/placement/types.go
+++ b/placement/types.go
@@ -11,12 +11,13 @@
 
 // Server is the registration of a backend server.
 type Server struct {
-	ID       string
-	Zone     string
-	Slots    int
-	Draining bool
-	Cold     time.Duration // time left in which it is slow after its start
-	Born     int64         // start time, Unix milliseconds; a change means a new process
+	ID        string
+	Zone      string
+	Slots     int
+	Draining  bool
+	Evacuated bool          // the operators evacuate its zone: it gets no requests
+	Cold      time.Duration // time left in which it is slow after its start
+	Born      int64         // start time, Unix milliseconds; a change means a new process
 }
 
 // Request is a request for a slot.
--- a/requestlog/cause.go
+++ b/requestlog/cause.go
@@ -27,6 +27,7 @@
 	CauseShed            Cause = "shed by its servers"
 	CauseRetryBudget     Cause = "retry budget spent"
 	CauseServerLimits    Cause = "limits of all servers reached"
+	CauseEvacuated       Cause = "all zones evacuated"
 	CauseQueue           Cause = "queue"
 	CauseNoOwner         Cause = "owner without reply"
 	CauseShutdown        Cause = "shutdown"
@@ -40,7 +41,7 @@
 
 // Causes lists all causes in the order in which reports show them.
 var Causes = []Cause{
-	CauseFirstFailure, CauseInFlight, CauseKnownFailing, CauseProbe, CauseNewServer, CauseAfterWork, CauseSilent, CauseShed, CauseRetryBudget, CauseServerLimits, CauseQueue,
+	CauseFirstFailure, CauseInFlight, CauseKnownFailing, CauseProbe, CauseNewServer, CauseAfterWork, CauseSilent, CauseShed, CauseRetryBudget, CauseServerLimits, CauseEvacuated, CauseQueue,
 	CauseNoOwner, CauseShutdown, CauseNoConfiguration, CauseRate, CauseNotAllowed, CauseCallerLeft, CauseDeadline, CauseUnclassified,
 }
 
@@ -62,6 +63,7 @@
 	{"connection ended before the end of the body", CauseCallerLeft},
 	{"body did not arrive before the deadline", CauseCallerLeft},
 	{"reached the limits that they named", CauseServerLimits},
+	{"all servers are in evacuated zones", CauseEvacuated},
 	{"the queue is too long", CauseQueue},
 	{"the queue grew", CauseQueue},
 	{"waited too long", CauseQueue},
