--- a/placement/server.go
+++ b/placement/server.go
@@ -25,7 +25,8 @@
 	used          time.Time              // time of the newest grant; zero if there was none
 	failedAt      time.Time              // time of the newest answer in which it reported a failure of its own; zero if there was none
 	joinedAt      time.Time
-	latency       float64 // mean of its answers, seconds; 0 if unknown
+	evacuatedAt   time.Time // since which its zone is evacuated
+	latency       float64   // mean of its answers, seconds; 0 if unknown
 	fullUntil     time.Time
 	downUntil     time.Time
 	running       map[RequestID]*grant
@@ -51,6 +52,9 @@
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
 		s.warmupUntil = warmupEnd
 	}
+	if registered.Evacuated && !s.Evacuated {
+		s.evacuatedAt = now
+	}
 	s.Server = registered
 }
 
@@ -60,7 +64,7 @@
 	if failingProbability > suspectThreshold {
 		slots = min(slots, 1+s.overdue) // overdue requests do not probe the present state
 	}
-	return !s.Draining && len(s.running) < slots && now.After(s.fullUntil) && now.After(s.downUntil)
+	return s.accepts() && len(s.running) < slots && now.After(s.fullUntil) && now.After(s.downUntil)
 }
 
 // recovering reports whether the server is avoided after a failure of its own and need
