Revert "placement: failing servers are probed each 3.7 s, not each 1.7 s"

After a failure of its own a server counts as idle from the end of the 2 s on, so it needs a request within them, as before. Change: the commit and its test are taken back.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -45,17 +45,14 @@
 		if !s.accepts() {
 			continue
 		}
-		recovering := s.recovering(now)
-		nearlyIdle := !recovering && now.Sub(s.used) >= nearlyIdleAfter
+		ready++
+		nearlyIdle := now.Sub(s.used) >= nearlyIdleAfter
 		withinLimit := b.fillLimit(now, s)
 		if !withinLimit {
 			b.limits.reached++
 		}
-		if !recovering {
-			ready++
-			if !nearlyIdle || !withinLimit { // a server that has had all that it accepts is in use
-				used++
-			}
+		if !nearlyIdle || !withinLimit { // a server that has had all that it accepts is in use
+			used++
 		}
 		s.observeRunning(now, b.latencyEstimate.fastFailureLimit())
 		failingProbability := s.health.failingProbability(now, b.share.value)
--- a/placement/floor.go
+++ b/placement/floor.go
@@ -7,7 +7,6 @@
 	inUseWindowParts    = 10                      // parts into which the window is split for counting
 	unservedThreshold   = 0.10                    // share of unserved requests above which unservedInUseMargin applies, so that all healthy servers are used; the operators set 0.1
 	nearlyIdleAfter     = 1700 * time.Millisecond // a server that got no request for this long will soon not count as in use
-	recoveryGrace       = 2 * time.Second         // after a failure of its own, a server does not count as healthy for this long, by the operators' definition
 	inUseMargin         = 0.22                    // added to Policy.MinServers, because some of the servers do not count
 	unservedInUseMargin = 0.26                    // replaces inUseMargin while more than unservedThreshold of the requests are not served
 	safeShareThreshold  = 0.1                     // share of safe requests above which only these are sent to nearly idle servers
--- a/placement/server.go
+++ b/placement/server.go
@@ -23,7 +23,6 @@
 	failurePeriod *failurePeriodEstimate // shared by the servers of the service
 	probeStarted  time.Time              // start of a request that was sent while the server's state was unknown; zero if none is open
 	used          time.Time              // time of the newest grant; zero if there was none
-	failedAt      time.Time              // time of the newest answer in which it reported a failure of its own; zero if there was none
 	joinedAt      time.Time
 	evacuatedAt   time.Time // since which its zone is evacuated
 	latency       float64   // mean of its answers, seconds; 0 if unknown
@@ -46,7 +45,7 @@
 // cleared.
 func (s *server) register(now time.Time, registered Server) {
 	if s.ID == "" || s.Born != registered.Born {
-		s.health, s.latency, s.used, s.failedAt, s.joinedAt, s.limit = health{}, 0, time.Time{}, time.Time{}, now, nil
+		s.health, s.latency, s.used, s.joinedAt, s.limit = health{}, 0, time.Time{}, now, nil
 		clear(s.connected)
 	}
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
@@ -67,13 +66,6 @@
 	return s.accepts() && len(s.running) < slots && now.After(s.fullUntil) && now.After(s.downUntil)
 }
 
-// recovering reports whether the server is avoided after a failure of its own and need
-// not be in use yet: the operators count it as healthy again only after recoveryGrace,
-// and as idle when it has got no request for the time of nearlyIdleAfter since then.
-func (s *server) recovering(now time.Time) bool {
-	return s.failedAt.After(s.health.lastSuccess) && now.Sub(s.failedAt) < recoveryGrace+nearlyIdleAfter
-}
-
 // reachableFrom reports whether the VM is not avoiding the server after a failed
 // connection.
 func (s *server) reachableFrom(now time.Time, vm string) bool {
@@ -96,9 +88,6 @@
 		s.observeLatency(took)
 		delete(s.avoidedUntil, vm)
 	case Failed, Broken:
-		if outcome == Failed {
-			s.failedAt = now
-		}
 		if took < fastLimit {
 			s.health.observeFastFailure(now, now.Add(-took), s.failurePeriod)
 		} else {
