placement, gateway: rank of the account and then of the route

Cause: the rank of an account replaced that of the route, so that a billing and a booking of one account were equal; and a billing waited behind the queued bookings of its account. Change: requests carry both ranks (the route's as a new last field of the placement request); each rank has its own fair queue while requests to routes of more than one rank arrive. Placement requests with fewer or more fields are decoded, which package msgpack rejects.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -17,6 +17,7 @@
 	defer cancel()
 	plan := attemptPlan{maxServers: min(q.route.MaxAttempts, maxAttempts)}
 	var failedAnswer *exchange // complete answer with a server failure, delivered if no other server gives a better one
+	rank := q.rank()
 	for {
 		left := time.Until(q.deadline)
 		if times := q.g.shutdown.Load(); times != nil {
@@ -28,7 +29,7 @@
 		tried, only := plan.choices(q.g.isRegistered)
 		slotRequest := placement.Request{
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
+			Priority: rank.Account, RouteRank: rank.Route, Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
 		}
 		waiting, endWait := q.waitContext(ctx)
 		decision := q.g.place(waiting, q.service, slotRequest)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,7 +263,7 @@
 		}
 		return b.Request(now, placement.Request{
 			ID: placement.RequestID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
+			Priority: m.Priority, RouteRank: routeRankOf(m), Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
 		})
 	})
 	g.sendDecisions(m.Service, decisions)
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +61,9 @@
 		Account  string
 		Only     []string  // if not empty, the only servers that may get the request
 		Limits   limitList // of the service's servers, while the owner has not confirmed that it knows them
+		// RouteRank is the rank of the route; nil from earlier versions, whose requests then
+		// rank by Priority alone.
+		RouteRank *int
 	}
 
 	placementReply struct {
@@ -115,6 +119,37 @@
 	}
 )
 
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *placementRequest) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeFields(decoder, m)
+}
+
+// decodeFields decodes a message of any version: fields that an earlier version lacks keep
+// their values, and those that a later version adds are not read. Package msgpack rejects an
+// array whose length is not the number of fields. It suits only a type that ends its datagram.
+func decodeFields(decoder *msgpack.Decoder, message any) error {
+	sent, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := reflect.ValueOf(message).Elem()
+	for i := range min(sent, fields.NumField()) {
+		if err := decoder.Decode(fields.Field(i).Addr().Interface()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// routeRankOf returns the rank of the route of a placement request. Earlier versions send only
+// one rank, which is that of the route unless the account has one.
+func routeRankOf(m *placementRequest) int {
+	if m.RouteRank == nil {
+		return m.Priority
+	}
+	return *m.RouteRank
+}
+
 // maxListLength limits the entries of a list in a message. A catalog of 12,000 servers has
 // fewer.
 const maxListLength = 1 << 16
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -191,7 +191,7 @@
 				g.mesh.send(owner.Address, kindPlacementRequest, &placementRequest{
 					Service: service, Seq: r.ID.Seq, Safe: r.Safe, Priority: r.Priority, Left: r.Left, Target: r.Target,
 					Bytes: r.Bytes, Tried: r.Tried, Only: r.Only, Retry: r.Retry, Account: r.Account,
-					Limits: g.unconfirmedLimits(service, owner),
+					Limits: g.unconfirmedLimits(service, owner), RouteRank: &r.RouteRank,
 				})
 			}
 			send()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -78,13 +78,14 @@
 	return q.account.Name
 }
 
-// priority returns the priority of the account, or that of the route if the account
-// has none.
-func (q *request) priority() int {
+// rank returns the rank of the account and then that of the route. An account without a
+// rank has that of the route, so that the route alone decides.
+func (q *request) rank() placement.Rank {
+	rank := placement.Rank{Account: q.route.Priority, Route: q.route.Priority}
 	if q.account != nil && q.account.Priority > 0 {
-		return q.account.Priority
+		rank.Account = q.account.Priority
 	}
-	return q.route.Priority
+	return rank
 }
 
 // mayHaveRun reports whether a server may have run the request.
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -22,7 +22,8 @@
 	grants          grantTable
 	queue           []*queued
 	retryQueue      retryQueue
-	fairQueue       fairQueue
+	fairQueue       fairQueue // of all requests while the rule of ranks is not in force
+	ranks           rankTable
 	lastContact     map[string]time.Time // by VM name
 	retries         retryLimiter
 	latencyEstimate latencyEstimate
@@ -62,7 +63,7 @@
 			continue
 		}
 		for requestID := range s.running {
-			b.grants.remove(requestID)
+			b.release(requestID)
 		}
 		delete(b.servers, id)
 	}
@@ -89,19 +90,20 @@
 		return b.repeatDecision(request.ID)
 	}
 	r := &queued{Request: request, queuedAt: now}
+	b.observeRank(now, r)
 	if request.Retry {
 		return b.requestRetry(now, r)
 	}
 	b.retries.observeRequest(now)
 	b.inUseFloor.observeRequest(now, request.Safe)
-	b.fairQueue.assignRound(now, r)
+	r.fair.assignRound(now, r)
 	var decisions []Decision
 	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
 		decisions = b.dispatchRetries(now)
 	}
 	if len(b.queue) == 0 {
 		if s := b.choose(now, r, b.candidateSet(now)); s != nil {
-			b.fairQueue.markGranted(now, r)
+			r.fair.markGranted(now, r)
 			return append(decisions, b.grant(now, r, s))
 		}
 	}
@@ -187,6 +189,7 @@
 	for _, s := range b.serversByID {
 		s.markOverdue(now, b.latencyEstimate.overdueLimit())
 	}
+	b.updateRankRule(now)
 	return append(b.expire(now), b.dispatch(now)...)
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -17,7 +17,9 @@
 type queued struct {
 	Request
 	queuedAt time.Time
-	round    int // fair-queueing round among the requests of its priority
+	usage    *rankUsage // of its rank
+	fair     *fairQueue // that assigned the round
+	round    int        // fair-queueing round among the requests of its rank
 }
 
 // mayUse reports whether the request may be sent to the server.
@@ -38,17 +40,17 @@
 	return max(0, min(inTime, r.Left-mean))
 }
 
-// precedes orders a queue by priority, then by fair-queueing round, and within a round
-// by arrival.
+// precedes orders a queue by rank, then by fair-queueing round, and within a round by
+// arrival.
 func (r *queued) precedes(other *queued) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
+	if rank, otherRank := r.rank(), other.rank(); rank != otherRank {
+		return rank.precedes(otherRank)
 	}
 	return r.round < other.round
 }
 
 func (b *Broker) enqueue(now time.Time, r *queued) {
-	b.fairQueue.markQueued(now, r)
+	r.fair.markQueued(now, r)
 	b.queue = insertInOrder(b.queue, r)
 }
 
@@ -72,7 +74,7 @@
 		if !remove(r) {
 			return false
 		}
-		b.fairQueue.markDequeued(now, r)
+		r.fair.markDequeued(now, r)
 		return true
 	})
 }
@@ -93,8 +95,8 @@
 			continue
 		}
 		b.queue = slices.Delete(b.queue, i, i+1)
-		b.fairQueue.markDequeued(now, r)
-		b.fairQueue.markGranted(now, r)
+		r.fair.markDequeued(now, r)
+		r.fair.markGranted(now, r)
 		decisions = append(decisions, b.grant(now, r, s))
 		set = b.candidateSet(now)
 	}
@@ -118,7 +120,7 @@
 			ahead++
 			return false
 		}
-		b.fairQueue.markDequeued(now, r)
+		r.fair.markDequeued(now, r)
 		retryAfter := b.retryAfter(now)
 		if limitWait := b.limitWait(now, r, ahead); limitWait > 0 {
 			reason, retryAfter = limitsReached, limitRetryAfter(limitWait)
@@ -157,7 +159,7 @@
 		}
 	}
 	perSecond := 1 / max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
-	wait := max(b.expectedWait(now, ahead+1), b.fairQueue.wait(now, r.Account, perSecond))
+	wait := max(b.expectedWait(now, ahead+1), r.fair.wait(now, r.Account, perSecond))
 	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
 	limitWait := b.limitWait(now, r, ahead)
 	switch {
--- /dev/null
+++ b/placement/rank_test.go
@@ -0,0 +1,219 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rankedKind is one kind of calls in a rankedLoad.
+type rankedKind struct {
+	name                   string
+	perSecond              float64
+	work, target, deadline time.Duration
+	spread                 float64 // standard deviation of the logarithm of the work
+	rank                   Rank
+	accounts               int // that send it in turn
+}
+
+// Kinds of calls at a service of 116 servers with 4 slots each.
+var (
+	bookings = rankedKind{name: "booking", perSecond: 463, work: 320 * time.Millisecond, target: 2 * time.Second, deadline: 6 * time.Second, spread: 0.8, rank: Rank{2, 2}, accounts: 75}
+	billings = rankedKind{name: "billing", perSecond: 50, work: 220 * time.Millisecond, target: 800 * time.Millisecond, deadline: 5 * time.Second, spread: 0.5, rank: Rank{0, 0}, accounts: 75}
+)
+
+// kindResult is what the callers of one kind got.
+type kindResult struct {
+	calls, answered, onTime int
+	refused, refusedLate    int // late: after an eighth of the target latency
+	retryAfter              []time.Duration
+}
+
+// share returns the number as a share of the calls.
+func (r *kindResult) share(n int) float64 { return float64(n) / float64(max(1, r.calls)) }
+
+func (r *kindResult) String() string {
+	return fmt.Sprintf("%d calls, %.3f answered, %.3f on time, %.3f refused, %.3f refused late", r.calls, r.share(r.answered), r.share(r.onTime), r.share(r.refused), r.share(r.refusedLate))
+}
+
+// rankedLoad sends several kinds of calls to the servers of a simulation.
+type rankedLoad struct {
+	*simulation
+	kinds   []rankedKind
+	due     []float64
+	kindOf  map[uint64]int // by sequence number of the first request
+	results []kindResult
+}
+
+func newRankedLoad(servers, slots int, kinds ...rankedKind) *rankedLoad {
+	l := &rankedLoad{simulation: newSimulation(servers, slots), kinds: kinds, due: make([]float64, len(kinds)), kindOf: map[uint64]int{}, results: make([]kindResult, len(kinds))}
+	random := rand.New(rand.NewPCG(2, 3))
+	l.workOf = func(call simCall) time.Duration {
+		k := l.kinds[l.kindOf[call.request.ID.Seq]]
+		factor := math.Exp(k.spread*random.NormFloat64() - k.spread*k.spread/2)
+		if random.Float64() < 0.01 {
+			factor *= 5
+		}
+		return time.Duration(factor * float64(k.work))
+	}
+	l.onAnswer = func(call simCall, latency time.Duration) {
+		index := l.kindOf[call.request.ID.Seq]
+		result := &l.results[index]
+		if latency <= l.kinds[index].deadline {
+			result.answered++
+		}
+		if latency <= l.kinds[index].target {
+			result.onTime++
+		}
+	}
+	l.onRefused = func(call simCall, d Decision) {
+		index := l.kindOf[call.request.ID.Seq]
+		result := &l.results[index]
+		result.refused++
+		if l.now.Sub(call.arrived) > l.kinds[index].target/8 {
+			result.refusedLate++
+		}
+		result.retryAfter = append(result.retryAfter, d.RetryAfter)
+	}
+	return l
+}
+
+// play sends the calls for the span; the rate of kind i is multiplied by factors[i].
+func (l *rankedLoad) play(span time.Duration, factors ...float64) {
+	for end := l.now.Add(span); l.now.Before(end); {
+		l.step(0, nil)
+		for i, k := range l.kinds {
+			for l.due[i] += k.perSecond * factors[i] * step.Seconds(); l.due[i] >= 1; l.due[i]-- {
+				l.kindOf[l.seq+1] = i
+				call := l.results[i].calls
+				l.results[i].calls++
+				l.request(fmt.Sprintf("vm%d", l.seq%10), func(r *Request) {
+					r.Priority, r.RouteRank, r.Target, r.Left = k.rank.Account, k.rank.Route, k.target, k.deadline
+					r.Account = fmt.Sprintf("account-%d", call%k.accounts)
+				})
+			}
+		}
+	}
+}
+
+// restart forgets the results so far.
+func (l *rankedLoad) restart() {
+	for i := range l.results {
+		l.results[i] = kindResult{}
+	}
+}
+
+// log writes what the callers of each kind got.
+func (l *rankedLoad) log(t *testing.T) {
+	t.Helper()
+	for i, k := range l.kinds {
+		t.Logf("%s of rank %v: %s", k.name, k.rank, &l.results[i])
+	}
+}
+
+// Load: bookings at 2.4 times 463 a second for 7 s and 50 billings a second, of the same five
+// accounts, while 64 of 116 servers with 4 slots are left, which serve about 780 a second.
+// Billings must not be refused because of the bookings of their account: 0.39 of them were
+// served, and 0.85 of the bookings. Bookings may lose what the billings take.
+func TestBillingsDoNotWaitForBookingsOfTheirAccount(t *testing.T) {
+	for _, account := range []int{0, 1} { // rank of the accounts; 0 is none
+		booking, billing := bookings, billings
+		booking.accounts, billing.accounts = 5, 5
+		if account > 0 {
+			booking.rank.Account, billing.rank.Account = account, account
+		}
+		l := newRankedLoad(64, 4, booking, billing)
+		l.play(5*time.Second, 1, 1)
+		l.restart()
+		l.play(7*time.Second, 2.4, 1)
+		l.play(6*time.Second, 1, 1)
+		l.log(t)
+		if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.97 {
+			t.Errorf("accounts of rank %d: %.3f of the billings are answered on time, want 0.97", account, onTime)
+		}
+		if answered := l.results[0].share(l.results[0].answered); answered < 0.846-0.03 {
+			t.Errorf("accounts of rank %d: %.3f of the bookings are answered; 0.846 were, and billings take 0.03", account, answered)
+		}
+	}
+}
+
+// Load: 400 requests a second to routes of one rank, of accounts with three ranks, at 126
+// slots that serve 268, with 30% rejected for a while. Each decision must be the same as
+// with the rule of ranks disabled.
+func TestOneRouteRankDecidesAsWithoutTheRule(t *testing.T) {
+	play := func(disabled bool) string {
+		var decisions strings.Builder
+		sim := newSimulation(21, 6)
+		sim.broker.ranks.disabled = disabled
+		for i := range 3000 {
+			sim.shedShare = 0
+			if i > 1000 && i < 2000 {
+				sim.shedShare = 0.3
+			}
+			sim.step(400, func(r *Request) {
+				r.RouteRank, r.Priority = 3, 3+int(r.ID.Seq%3)
+				r.Account = fmt.Sprintf("account-%d", r.ID.Seq%7%5)
+			})
+			fmt.Fprintln(&decisions, sim.lastDecisions)
+		}
+		return decisions.String()
+	}
+	with, without := play(false), play(true)
+	if with != without {
+		t.Errorf("decisions at a service with one rank differ from those without the rule, from byte %d on", firstDifference(with, without))
+	}
+}
+
+// firstDifference returns the position of the first byte that differs.
+func firstDifference(a, b string) int {
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return min(len(a), len(b))
+}
+
+// Load: while 100 requests of one rank wait, a request of a second rank puts the rule in
+// force, and half a minute without it ends the rule. The queued requests must keep their
+// order, and the accounts' counts must be those of the queue.
+func TestRuleBeginsAndEndsWhileRequestsWait(t *testing.T) {
+	sim := newSimulation(2, 4)
+	low := func(r *Request) {
+		r.Priority, r.RouteRank, r.Account = 2, 2, fmt.Sprintf("account-%d", r.ID.Seq%3)
+		r.Left, r.Target = time.Minute, 50*time.Second
+	}
+	check := func(when string, inForce bool) {
+		t.Helper()
+		if sim.broker.ranks.inForce != inForce {
+			t.Fatalf("%s: in force is %v", when, !inForce)
+		}
+		queued := map[string]int{}
+		for i, r := range sim.broker.queue {
+			queued[r.Account]++
+			if i > 0 && r.precedes(sim.broker.queue[i-1]) {
+				t.Errorf("%s: request %d is behind one that it precedes", when, r.ID.Seq)
+			}
+		}
+		for account, want := range queued {
+			if got := sim.broker.queue[0].fair.accounts[account].queued; got != want {
+				t.Errorf("%s: %d requests of %s are counted, %d wait", when, got, account, want)
+			}
+		}
+	}
+	for range 100 {
+		sim.request("vm0", low)
+	}
+	check("one rank", false)
+	high := sim.request("vm0", func(r *Request) { r.Priority, r.RouteRank, r.Account = 0, 0, "account-1" })
+	if first := sim.broker.queue[0].ID; first != high.ID {
+		t.Errorf("request %v is the first, want the one of the higher rank", first)
+	}
+	sim.broker.removeQueued(sim.now, func(r *queued) bool { return r.ID == high.ID })
+	check("two ranks", true)
+	sim.run(rankMemory+time.Second, 16, low)
+	check("one rank again", false)
+}
--- a/placement/retryqueue.go
+++ b/placement/retryqueue.go
@@ -80,7 +80,7 @@
 		b.retryQueue.remove(i)
 		b.retryQueue.round = max(b.retryQueue.round, r.round)
 		b.retries.spend(now)
-		b.fairQueue.countGrant(now, r.Account)
+		r.fair.countGrant(now, r.Account)
 		decisions = append(decisions, b.grant(now, r, s))
 		set = b.candidateSet(now)
 	}
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -27,6 +27,10 @@
 	nextTick    time.Time
 	// lastDecisions are the decisions since the start of the last step.
 	lastDecisions []Decision
+	// Optional hooks: the processing time of a call, and what to do when it is answered or refused.
+	workOf    func(simCall) time.Duration
+	onAnswer  func(call simCall, latency time.Duration)
+	onRefused func(simCall, Decision)
 }
 
 // simCall is a caller's call, which may take several requests.
@@ -85,7 +89,11 @@
 	for _, d := range decisions {
 		switch d.Verdict {
 		case Granted:
-			r := simRequest{id: d.ID, server: d.Server, ends: sim.now.Add(sim.work), took: sim.work}
+			work := sim.work
+			if sim.workOf != nil {
+				work = sim.workOf(sim.open[d.ID])
+			}
+			r := simRequest{id: d.ID, server: d.Server, ends: sim.now.Add(work), took: work}
 			if sim.failing[d.Server] {
 				r.ends, r.took, r.result = sim.now.Add(5*time.Millisecond), 5*time.Millisecond, Failed
 			}
@@ -97,6 +105,9 @@
 			sim.running = append(sim.running, r)
 		case Refused:
 			sim.refused[d.Reason]++
+			if sim.onRefused != nil {
+				sim.onRefused(sim.open[d.ID], d)
+			}
 			delete(sim.open, d.ID)
 		}
 	}
@@ -126,6 +137,9 @@
 		switch r.result {
 		case Answered:
 			sim.latencies = append(sim.latencies, sim.now.Sub(call.arrived))
+			if sim.onAnswer != nil {
+				sim.onAnswer(call, sim.now.Sub(call.arrived))
+			}
 		case Shed:
 			sim.retry(call, r.server)
 		}
--- a/placement/types.go
+++ b/placement/types.go
@@ -21,17 +21,18 @@
 
 // Request is a request for a slot.
 type Request struct {
-	ID       RequestID
-	Zone     string        // availability zone of the VM
-	Account  string        // client account; "" if it has none
-	Safe     bool          // may be repeated if its server fails
-	Priority int           // 0 is the highest
-	Left     time.Duration // time left until the caller stops waiting for the answer
-	Target   time.Duration // time left until the answer exceeds the target latency; may be negative
-	Bytes    int           // size of the request body
-	Tried    []string      // IDs of servers that must not get it again
-	Only     []string      // if not empty, IDs of the only servers that may get it
-	Retry    bool          // an earlier attempt reached a server, so this one counts against the retry budget
+	ID        RequestID
+	Zone      string        // availability zone of the VM
+	Account   string        // client account; "" if it has none
+	Safe      bool          // may be repeated if its server fails
+	Priority  int           // first part of the Rank: of the account, or of the route if the account has none
+	RouteRank int           // second part of the Rank: of the route
+	Left      time.Duration // time left until the caller stops waiting for the answer
+	Target    time.Duration // time left until the answer exceeds the target latency; may be negative
+	Bytes     int           // size of the request body
+	Tried     []string      // IDs of servers that must not get it again
+	Only      []string      // if not empty, IDs of the only servers that may get it
+	Retry     bool          // an earlier attempt reached a server, so this one counts against the retry budget
 }
 
 // After returns the request as it is when the given time has passed.
