placement: room, minimum share and early refusal by rank

Cause: a request of a high rank waited for the end of lower-ranked ones where slots are few; the lowest rank could be starved; queued requests were admitted without regard to the arrivals of higher ranks and refused after they had waited. Change: the Broker counts arrivals, work and slots held by rank. Lower ranks leave free slots to higher ones that are due and cannot wait for the next slot; each rank keeps a tenth of the grants; expected waits count the arrivals of higher ranks, and requests that lose their place are refused within an eighth of their target latency.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -99,10 +99,14 @@
 	r.fair.assignRound(now, r)
 	var decisions []Decision
 	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
-		decisions = b.dispatchRetries(now)
+		if b.ranks.inForce {
+			decisions = b.dispatchByRank(now)
+		} else {
+			decisions = b.dispatchRetries(now)
+		}
 	}
 	if len(b.queue) == 0 {
-		if s := b.choose(now, r, b.candidateSet(now)); s != nil {
+		if s := b.chooseLeavingRoom(now, r, b.candidateSet(now)); s != nil {
 			r.fair.markGranted(now, r)
 			return append(decisions, b.grant(now, r, s))
 		}
@@ -136,8 +140,13 @@
 func (b *Broker) Complete(now time.Time, id RequestID, serverID string, outcome Outcome, took time.Duration) []Decision {
 	b.lastContact[id.VM] = now
 	b.removeQueued(now, func(r *queued) bool { return r.ID == id })
-	if g := b.grants.get(id); g != nil && g.spentLimit && (outcome == Unreachable || outcome == Unused && serverID == "") {
-		g.server.restoreLimit(now)
+	if g := b.grants.get(id); g != nil {
+		if g.spentLimit && (outcome == Unreachable || outcome == Unused && serverID == "") {
+			g.server.restoreLimit(now)
+		}
+		if g.usage != nil && outcome == Answered {
+			g.usage.observeWork(took)
+		}
 	}
 	b.release(id)
 	b.countUnserved(now, outcome)
@@ -226,7 +235,9 @@
 	if rate, limited := s.limit.rate(now); limited {
 		decision.Limit = rate
 	}
-	b.addGrant(r.ID, s, now).spentLimit = s.spendLimit(now)
+	g := b.addGrant(r.ID, s, now)
+	g.spentLimit, g.usage = s.spendLimit(now), r.usage
+	b.countRankGrant(r.usage)
 	return decision
 }
 
@@ -241,6 +252,9 @@
 func (b *Broker) release(id RequestID) {
 	if g := b.grants.get(id); g != nil {
 		delete(g.server.running, id)
+		if g.usage != nil {
+			g.usage.held--
+		}
 		if g.overdue {
 			g.server.overdue--
 		}
@@ -276,6 +290,15 @@
 	return best
 }
 
+// chooseLeavingRoom returns the best server for a request, or nil if the request should wait,
+// also because the free slots are kept for higher ranks.
+func (b *Broker) chooseLeavingRoom(now time.Time, r *queued, set *candidateSet) *server {
+	if s := b.choose(now, r, set); s != nil && b.leavesRoom(now, r, s, set) {
+		return s
+	}
+	return nil
+}
+
 // countUnserved counts requests that were not served. A retry may still serve some
 // of them, so the count can be slightly too high.
 func (b *Broker) countUnserved(now time.Time, outcome Outcome) {
--- a/placement/grants.go
+++ b/placement/grants.go
@@ -7,8 +7,9 @@
 	requestID  RequestID
 	server     *server
 	startedAt  time.Time
-	overdue    bool // was already counted as a failure
-	spentLimit bool // counts against the server's limit at this Broker
+	overdue    bool       // was already counted as a failure
+	spentLimit bool       // counts against the server's limit at this Broker
+	usage      *rankUsage // of its rank; nil if another Broker granted it
 }
 
 // grantTable holds the grants of a Broker by VM and sequence number, so that a VM's
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,7 +9,9 @@
 	maxLimitRetryAfter = time.Minute // while all servers have reached their limits; callers that return earlier are refused again
 	maxDispatchScan    = 32          // queued requests that are examined for a free slot in one dispatch
 	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
+	lateRefusalDivisor = 8           // a refusal after 1/8 of the target latency comes too late for its caller
 	admitWaitShare     = 0.85        // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
+	earlyWaitShare     = 1.0         // the same for a request that has waited for less than an eighth of its target latency and may lose its place to higher ranks: it can still be served elsewhere
 	expireWaitShare    = 1.25        // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
 )
 
@@ -82,6 +84,9 @@
 // dispatch grants free slots to retries that the budget allows, and then to queued
 // requests in queue order.
 func (b *Broker) dispatch(now time.Time) []Decision {
+	if b.ranks.inForce {
+		return b.dispatchByRank(now)
+	}
 	decisions := b.dispatchRetries(now)
 	if len(b.queue) == 0 {
 		return decisions
@@ -108,21 +113,26 @@
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
 	mean := b.latencyEstimate.meanLatency()
-	ahead := 0
+	var ahead position
+	var usage *rankUsage
+	expectedWait := b.queueWait(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
 		waited, maxWait, reason := now.Sub(r.queuedAt), r.maxWait(mean), ""
+		if r.usage != usage {
+			usage, ahead = r.usage, position{higher: ahead.total()}
+		}
 		switch {
 		case waited > maxWait:
 			reason = "waited too long"
-		case waited+b.expectedWait(now, ahead) > time.Duration(expireWaitShare*float64(maxWait)):
+		case waited+expectedWait(r, ahead) > time.Duration(b.expireShare(r, waited)*float64(maxWait)):
 			reason = "the queue grew"
 		default:
-			ahead++
+			ahead.own++
 			return false
 		}
 		r.fair.markDequeued(now, r)
 		retryAfter := b.retryAfter(now)
-		if limitWait := b.limitWait(now, r, ahead); limitWait > 0 {
+		if limitWait := b.limitWait(now, r, ahead.total()); limitWait > 0 {
 			reason, retryAfter = limitsReached, limitRetryAfter(limitWait)
 		}
 		d := b.refuse(now, r.ID, reason, retryAfter)
@@ -133,6 +143,15 @@
 	return decisions
 }
 
+// expireShare returns the multiple of maxWait that the expected wait of a queued request may
+// reach.
+func (b *Broker) expireShare(r *queued, waited time.Duration) float64 {
+	if b.ranks.inForce && waited <= r.Target/lateRefusalDivisor {
+		return earlyWaitShare
+	}
+	return expireWaitShare
+}
+
 // Reasons to refuse a request.
 const (
 	noServerLeft  = "no server is left"
@@ -152,16 +171,15 @@
 	if !b.hasUsableServer(now, r) {
 		return noServerLeft, b.retryAfter(now)
 	}
-	ahead := 0
+	var ahead position
 	for _, other := range b.queue {
 		if !r.precedes(other) {
-			ahead++
+			ahead.count(other.usage != r.usage)
 		}
 	}
-	perSecond := 1 / max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
-	wait := max(b.expectedWait(now, ahead+1), r.fair.wait(now, r.Account, perSecond))
+	wait := b.admissionWait(now, r, ahead)
 	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
-	limitWait := b.limitWait(now, r, ahead)
+	limitWait := b.limitWait(now, r, ahead.total())
 	switch {
 	case max(wait, limitWait) <= maxWait:
 		return "", 0
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -1,13 +1,19 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	rankMemory = 30 * time.Second // for which a rank counts as present at a service after its last request; faults and bursts come within that time
-	maxRanks   = 16               // ranks of a service that are counted separately; the others count with the next lower one
+	rankMemory       = 30 * time.Second // for which a rank counts as present at a service after its last request; faults and bursts come within that time
+	maxRanks         = 16               // ranks of a service that are counted separately; the others count with the next lower one
+	rankDecay        = 2 * time.Second  // time constant with which the requests of a rank lose their weight; bursts last about 7 s
+	fastDecayDivisor = 4                // divisor of rankDecay with which a rise of the rate is noticed
+	minRankShare     = 0.1              // share of a scarce resource that each rank with requests keeps, whatever higher ranks request
+	maxMinShares     = 0.3              // limit of the sum of these shares
+	rankWorkGain     = 0.05             // weight of the newest answer in the mean work of a rank
 )
 
 // Rank is the order of a request among those that need the same resource: first by the
@@ -40,6 +46,55 @@
 	rank     Rank
 	fair     fairQueue // of its requests while the rule is in force
 	lastSeen time.Time
+	arrivals decayedCount // first attempts
+	work     float64      // mean time from the grant to the answer, seconds; 0 if unknown
+	target   float64      // target latency of its newest first attempt, seconds
+	owed     float64      // grants that it may have out of turn, so that it has its minimum share
+	held     int          // slots held by requests that this Broker granted
+}
+
+// decayedCount counts events, which lose their weight with time.
+type decayedCount struct {
+	slow, fast float64 // with time constants rankDecay and rankDecay/fastDecayDivisor, at the time at
+	at         time.Time
+}
+
+func (c *decayedCount) count(now time.Time) {
+	c.advance(now)
+	c.slow++
+	c.fast++
+}
+
+// advance decays the counts to now.
+func (c *decayedCount) advance(now time.Time) {
+	if since := now.Sub(c.at); since > 0 && c.slow > 0 {
+		factor := math.Exp(-since.Seconds() / rankDecay.Seconds())
+		c.slow *= factor
+		c.fast *= factor * factor * factor * factor
+	}
+	c.at = now
+}
+
+// perSecond returns the rate of the events. It rises within a fraction of rankDecay, since
+// what is admitted before the rate of higher ranks is known may lose its place, and falls
+// with rankDecay.
+func (c *decayedCount) perSecond(now time.Time) float64 {
+	c.advance(now)
+	return max(c.slow, c.fast*fastDecayDivisor) / rankDecay.Seconds()
+}
+
+// observeWork records the time that a request took from its grant to its answer.
+func (u *rankUsage) observeWork(took time.Duration) {
+	if u.work == 0 {
+		u.work = took.Seconds()
+		return
+	}
+	u.work += rankWorkGain * (took.Seconds() - u.work)
+}
+
+// minShare returns the share of a scarce resource that each rank keeps.
+func (t *rankTable) minShare() float64 {
+	return min(minRankShare, maxMinShares/float64(max(1, len(t.usages))))
 }
 
 // usageOf returns the usage of a rank. Ranks that do not fit into the table share the
@@ -81,6 +136,10 @@
 	b.updateRankRule(now)
 	r.usage = b.ranks.usageOf(now, r.rank())
 	r.usage.lastSeen = now
+	if !r.Retry {
+		r.usage.arrivals.count(now)
+		r.usage.target = max(0, r.Target.Seconds())
+	}
 	r.fair = b.fairQueueOf(r.usage)
 }
 
@@ -102,7 +161,7 @@
 		b.moveToFairQueues(now)
 	}
 	b.ranks.usages = slices.DeleteFunc(b.ranks.usages, func(u *rankUsage) bool {
-		return now.Sub(u.lastSeen) > rankMemory
+		return now.Sub(u.lastSeen) > rankMemory && u.held == 0
 	})
 }
 
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -30,13 +30,14 @@
 	calls, answered, onTime int
 	refused, refusedLate    int // late: after an eighth of the target latency
 	retryAfter              []time.Duration
+	lateReasons             map[string]int
 }
 
 // share returns the number as a share of the calls.
 func (r *kindResult) share(n int) float64 { return float64(n) / float64(max(1, r.calls)) }
 
 func (r *kindResult) String() string {
-	return fmt.Sprintf("%d calls, %.3f answered, %.3f on time, %.3f refused, %.3f refused late", r.calls, r.share(r.answered), r.share(r.onTime), r.share(r.refused), r.share(r.refusedLate))
+	return fmt.Sprintf("%d calls, %.3f answered, %.3f on time, %.3f refused, %.3f refused late %v", r.calls, r.share(r.answered), r.share(r.onTime), r.share(r.refused), r.share(r.refusedLate), r.lateReasons)
 }
 
 // rankedLoad sends several kinds of calls to the servers of a simulation.
@@ -50,6 +51,7 @@
 
 func newRankedLoad(servers, slots int, kinds ...rankedKind) *rankedLoad {
 	l := &rankedLoad{simulation: newSimulation(servers, slots), kinds: kinds, due: make([]float64, len(kinds)), kindOf: map[uint64]int{}, results: make([]kindResult, len(kinds))}
+	l.restart()
 	random := rand.New(rand.NewPCG(2, 3))
 	l.workOf = func(call simCall) time.Duration {
 		k := l.kinds[l.kindOf[call.request.ID.Seq]]
@@ -75,6 +77,7 @@
 		result.refused++
 		if l.now.Sub(call.arrived) > l.kinds[index].target/8 {
 			result.refusedLate++
+			result.lateReasons[d.Reason]++
 		}
 		result.retryAfter = append(result.retryAfter, d.RetryAfter)
 	}
@@ -102,7 +105,7 @@
 // restart forgets the results so far.
 func (l *rankedLoad) restart() {
 	for i := range l.results {
-		l.results[i] = kindResult{}
+		l.results[i] = kindResult{lateReasons: map[string]int{}}
 	}
 }
 
@@ -217,3 +220,67 @@
 	sim.run(rankMemory+time.Second, 16, low)
 	check("one rank again", false)
 }
+
+// Load: at 4 servers with 2 slots, reports of 2 s at twice the 4 a second that the slots serve,
+// and one billing of 220 ms a second with a target latency of 800 ms. A slot ends each 250 ms,
+// so without room many billings wait too long for one. The reports get the other slots.
+func TestSmallServiceKeepsRoomForBillings(t *testing.T) {
+	report, billing := bookings, billings
+	report.name, report.perSecond, report.work, report.target, report.deadline = "report", 8, 2*time.Second, 6*time.Second, 12*time.Second
+	billing.perSecond, billing.spread = 1, 0.1
+	l := newRankedLoad(4, 2, report, billing)
+	l.play(20*time.Second, 1, 1)
+	l.restart()
+	l.play(200*time.Second, 1, 1)
+	l.log(t)
+	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.95 {
+		t.Errorf("%.3f of the billings are on time, want 0.95", onTime)
+	}
+	if answered := l.results[0].share(l.results[0].answered); answered < 0.35 {
+		t.Errorf("%.3f of the reports are answered; seven of eight slots serve 0.42", answered)
+	}
+}
+
+// Load: for 20 s, billings at 1.5 times what 29 servers with 4 slots serve (527 a second), and
+// bookings at a fifth of it. Without a minimum share, no booking is served. Each rank keeps a
+// tenth of the grants.
+func TestLowestRankKeepsItsMinimumShare(t *testing.T) {
+	booking, billing := bookings, billings
+	booking.perSecond, billing.perSecond = 73, 790
+	for _, accounts := range []int{5, 1000} {
+		booking.accounts, billing.accounts = accounts, accounts
+		l := newRankedLoad(29, 4, booking, billing)
+		l.play(5*time.Second, 1, 0.1)
+		l.restart()
+		l.play(20*time.Second, 1, 1)
+		l.log(t)
+		booked, billed := l.results[0].answered, l.results[1].answered
+		if share := float64(booked) / float64(booked+billed); share < 0.08 || share > 0.13 {
+			t.Errorf("%d accounts: bookings got %.3f of the answers, want about a tenth", accounts, share)
+		}
+		if late := l.results[0].refusedLate; late > l.results[0].refused/10 {
+			t.Errorf("%d accounts: %d of %d refused bookings were refused late, want fewer than one in ten", accounts, late, l.results[0].refused)
+		}
+	}
+}
+
+// Load: bookings at 2.4 times 463 a second at 64 servers that serve 780, and 5 s later also
+// billings that take a sixth of the slots for 5 s, so that queued bookings lose their place. Fewer
+// than one refusal in ten may come after an eighth of the target latency.
+func TestRequestsThatLoseTheirPlaceAreRefusedEarly(t *testing.T) {
+	booking, billing := bookings, billings
+	billing.perSecond = 190
+	l := newRankedLoad(64, 4, booking, billing)
+	l.play(5*time.Second, 2.4, 0.01)
+	l.play(5*time.Second, 2.4, 1)
+	l.play(3*time.Second, 1, 0.01)
+	l.log(t)
+	for i, result := range l.results {
+		if result.refusedLate > result.refused/10 {
+			t.Errorf("%d of %d refusals of a %s came late", result.refusedLate, result.refused, l.kinds[i].name)
+		}
+	}
+	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.97 {
+		t.Errorf("%.3f of the billings are on time, want 0.97", onTime)
+	}
+}
