placement: retry budget by rank

Cause: retries of bookings spent the budget before those of billings came, whatever their rank; and a lowest rank got no retries while higher ranks requested more than the budget. Change: ranks leave what higher ones are expected to request in half of the window, and each rank keeps a tenth of the budget. Expected waits and refusals of retries count both. The limit of all retries is unchanged.

--- a/placement/rank.go
+++ b/placement/rank.go
@@ -46,6 +46,7 @@
 	rank     Rank
 	fair     fairQueue // of its requests while the rule is in force
 	lastSeen time.Time
+	retries  rankRetries
 	arrivals decayedCount // first attempts
 	work     float64      // mean time from the grant to the answer, seconds; 0 if unknown
 	target   float64      // target latency of its newest first attempt, seconds
@@ -136,7 +137,9 @@
 	b.updateRankRule(now)
 	r.usage = b.ranks.usageOf(now, r.rank())
 	r.usage.lastSeen = now
-	if !r.Retry {
+	if r.Retry {
+		r.usage.retries.requested.count(now)
+	} else {
 		r.usage.arrivals.count(now)
 		r.usage.target = max(0, r.Target.Seconds())
 	}
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -47,6 +47,7 @@
 	due     []float64
 	kindOf  map[uint64]int // by sequence number of the first request
 	results []kindResult
+	retries []time.Time // when they were granted
 }
 
 func newRankedLoad(servers, slots int, kinds ...rankedKind) *rankedLoad {
@@ -54,6 +55,9 @@
 	l.restart()
 	random := rand.New(rand.NewPCG(2, 3))
 	l.workOf = func(call simCall) time.Duration {
+		if len(call.servers) > 0 {
+			l.retries = append(l.retries, l.now)
+		}
 		k := l.kinds[l.kindOf[call.request.ID.Seq]]
 		factor := math.Exp(k.spread*random.NormFloat64() - k.spread*k.spread/2)
 		if random.Float64() < 0.01 {
@@ -284,3 +288,55 @@
 		t.Errorf("%.3f of the billings are on time, want 0.97", onTime)
 	}
 }
+
+// Load: bookings at 2.4 times 463 a second for 7 s and 50 billings a second at 116 servers
+// with 4 slots, which reject 35% of their requests for 8 s: half as many again as the retry
+// budget allows.
+func TestBillingsAreRetriedFirst(t *testing.T) {
+	l := newRankedLoad(116, 4, bookings, billings)
+	l.play(5*time.Second, 1, 1)
+	l.restart()
+	l.play(2*time.Second, 2.4, 1)
+	l.shedShare = 0.35
+	l.play(5*time.Second, 2.4, 1)
+	l.play(3*time.Second, 1, 1)
+	l.shedShare = 0
+	l.play(6*time.Second, 1, 1)
+	l.log(t)
+	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.96 {
+		t.Errorf("%.3f of the billings are on time, want 0.96", onTime)
+	}
+	if answered := l.results[0].share(l.results[0].answered); answered < 0.9 {
+		t.Errorf("%.3f of the bookings are answered, want 0.9", answered)
+	}
+}
+
+// Load: 463 billings and 50 bookings a second for 20 s at 116 servers with 4 slots that reject
+// half of their requests: the billings alone request twice the retry budget. The bookings
+// keep a tenth of it, and all retries stay within it.
+func TestLowestRankKeepsItsRetries(t *testing.T) {
+	booking, billing := bookings, billings
+	booking.perSecond, billing.perSecond = 50, 463
+	l := newRankedLoad(116, 4, booking, billing)
+	l.play(12*time.Second, 1, 1)
+	l.shedShare = 0.5
+	l.play(5*time.Second, 1, 1)
+	l.restart()
+	l.play(15*time.Second, 1, 1)
+	l.log(t)
+	// Half of the bookings need no retry. A tenth of the budget, 9 retries a second, serves up to 0.09 more.
+	if answered := l.results[0].share(l.results[0].answered); answered < 0.56 {
+		t.Errorf("%.3f of the bookings are answered, want 0.56", answered)
+	}
+	budget := testPolicy.Retries
+	most, first := 0, 0
+	for i, at := range l.retries {
+		for at.Sub(l.retries[first]) >= budget.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	if bound := int(budget.Ratio*513*budget.Window.Seconds()) + budget.Allowance; most > bound {
+		t.Errorf("%d retries in 10 s, %d are allowed", most, bound)
+	}
+}
--- a/placement/rankroom.go
+++ b/placement/rankroom.go
@@ -226,31 +226,40 @@
 	set                          *candidateSet
 	retry, first                 int // positions up to which no request got a slot
 	scannedRetries, scannedFirst int
+	spent                        *rankUsage // whose retries the budget does not allow
 	decisions                    []Decision
 }
 
-// grantMinimum grants slots to the queued requests of a rank until it has had its minimum
+// grantMinimum grants slots to the waiting requests of a rank until it has had its minimum
 // share.
 func (d *rankDispatch) grantMinimum(u *rankUsage) {
+	ofRank := func(r *queued) bool { return r.usage == u }
 	for d.belowMinimum(u) && len(d.set.candidates) > 0 {
-		at := slices.IndexFunc(d.Broker.queue, func(r *queued) bool { return r.usage == u })
+		if at := slices.IndexFunc(d.retryQueue.waiting, ofRank); at >= 0 && d.retryBudgetOf(d.now, u).canSpend() {
+			if r := d.retryQueue.waiting[at]; d.grantRetryAt(at, r, d.choose(d.now, r, d.set)) {
+				continue
+			}
+		}
+		at := slices.IndexFunc(d.Broker.queue, ofRank)
 		if at < 0 {
 			return
 		}
-		r := d.Broker.queue[at]
-		s := d.choose(d.now, r, d.set)
-		if s == nil {
+		if r := d.Broker.queue[at]; !d.grantAt(at, r, d.choose(d.now, r, d.set)) {
 			return
 		}
-		d.grantAt(at, r, s)
 	}
 }
 
 // next returns the next retry that the budget allows and the next queued request, or nil
 // if there is none.
 func (d *rankDispatch) next() (retry, first *queued) {
-	if d.retry < len(d.retryQueue.waiting) && d.scannedRetries < maxRetryScan && d.retries.canSpend(d.now) {
-		retry = d.retryQueue.waiting[d.retry]
+	for ; d.retry < len(d.retryQueue.waiting) && d.scannedRetries < maxRetryScan; d.retry++ {
+		r := d.retryQueue.waiting[d.retry]
+		if r.usage != d.spent && d.retryBudgetOf(d.now, r.usage).canSpend() {
+			retry = r
+			break
+		}
+		d.spent = r.usage
 	}
 	if d.first < len(d.Broker.queue) && d.scannedFirst < maxDispatchScan {
 		first = d.Broker.queue[d.first]
@@ -260,34 +269,43 @@
 
 func (d *rankDispatch) grantRetry(r *queued) {
 	d.scannedRetries++
-	s := d.chooseLeavingRoom(d.now, r, d.set)
-	if s == nil {
+	if !d.grantRetryAt(d.retry, r, d.chooseLeavingRoom(d.now, r, d.set)) {
 		d.retry++
-		return
 	}
-	d.retryQueue.remove(d.retry)
+}
+
+// grantRetryAt grants the server to the retry at the position. It reports false if there is
+// no server.
+func (d *rankDispatch) grantRetryAt(at int, r *queued, s *server) bool {
+	if s == nil {
+		return false
+	}
+	d.retryQueue.remove(at)
 	d.retryQueue.round = max(d.retryQueue.round, r.round)
-	d.retries.spend(d.now)
+	d.spendRetry(d.now, r.usage)
 	r.fair.countGrant(d.now, r.Account)
 	d.decisions = append(d.decisions, d.grant(d.now, r, s))
 	d.set = d.candidateSet(d.now)
+	return true
 }
 
 func (d *rankDispatch) grantFirst(r *queued) {
 	d.scannedFirst++
-	s := d.chooseLeavingRoom(d.now, r, d.set)
-	if s == nil {
+	if !d.grantAt(d.first, r, d.chooseLeavingRoom(d.now, r, d.set)) {
 		d.first++
-		return
 	}
-	d.grantAt(d.first, r, s)
 }
 
-// grantAt grants the server to the request at the position of the queue.
-func (d *rankDispatch) grantAt(at int, r *queued, s *server) {
+// grantAt grants the server to the request at the position of the queue. It reports false
+// if there is no server.
+func (d *rankDispatch) grantAt(at int, r *queued, s *server) bool {
+	if s == nil {
+		return false
+	}
 	d.Broker.queue = slices.Delete(d.Broker.queue, at, at+1)
 	r.fair.markDequeued(d.now, r)
 	r.fair.markGranted(d.now, r)
 	d.decisions = append(d.decisions, d.grant(d.now, r, s))
 	d.set = d.candidateSet(d.now)
+	return true
 }
--- a/placement/retryqueue.go
+++ b/placement/retryqueue.go
@@ -43,14 +43,18 @@
 	if !b.hasUsableServer(now, r) {
 		return []Decision{b.refuse(now, r.ID, noServerLeft, b.retryAfter(now))}
 	}
-	position := b.retryQueue.add(r)
-	wait, reason := b.retryWait(now, r, position)
+	at := b.retryQueue.add(r)
+	var ahead position
+	for _, other := range b.retryQueue.waiting[:at] {
+		ahead.count(other.usage != r.usage)
+	}
+	wait, reason := b.retryWait(now, r, ahead)
 	longest := b.maxRetryWait(r)
 	if reason == limitsReached { // as for new requests
 		longest = time.Duration(admitWaitShare * float64(longest))
 	}
 	if wait > longest {
-		b.retryQueue.remove(position)
+		b.retryQueue.remove(at)
 		return []Decision{b.refuse(now, r.ID, reason, retryRetryAfter(wait, reason))}
 	}
 	return b.decideOrQueue(r, b.dispatch(now))
@@ -79,7 +83,7 @@
 		}
 		b.retryQueue.remove(i)
 		b.retryQueue.round = max(b.retryQueue.round, r.round)
-		b.retries.spend(now)
+		b.spendRetry(now, r.usage)
 		r.fair.countGrant(now, r.Account)
 		decisions = append(decisions, b.grant(now, r, s))
 		set = b.candidateSet(now)
@@ -91,12 +95,16 @@
 // the budget shrank, other retries came before them, or no slot was free.
 func (b *Broker) expireRetries(now time.Time) []Decision {
 	var decisions []Decision
-	ahead := 0
+	var ahead position
+	var usage *rankUsage
 	b.retryQueue.waiting = slices.DeleteFunc(b.retryQueue.waiting, func(r *queued) bool {
 		waited := now.Sub(r.queuedAt)
+		if r.usage != usage {
+			usage, ahead = r.usage, position{higher: ahead.total()}
+		}
 		wait, reason := b.retryWait(now, r, ahead)
 		if waited+wait <= b.maxRetryWait(r) {
-			ahead++
+			ahead.own++
 			return false
 		}
 		decision := b.refuse(now, r.ID, reason, retryRetryAfter(wait, reason))
@@ -108,11 +116,11 @@
 }
 
 // retryWait returns after which time the budget and the servers' limits are expected to
-// allow the retry that the given number of others precede, and the reason if that is too
+// allow the retry that the given others precede, and the reason if that is too
 // late.
-func (b *Broker) retryWait(now time.Time, r *queued, ahead int) (wait time.Duration, reason string) {
-	wait, reason = b.retries.waitFor(now, ahead+1), "retry budget is spent"
-	if limitWait := b.limitWait(now, r, ahead); limitWait > wait {
+func (b *Broker) retryWait(now time.Time, r *queued, ahead position) (wait time.Duration, reason string) {
+	wait, reason = b.rankRetryWait(now, r.usage, ahead), "retry budget is spent"
+	if limitWait := b.limitWait(now, r, ahead.total()); limitWait > wait {
 		return limitWait, limitsReached
 	}
 	if wait == 0 {
