limit, gateway: an account's tokens by rank while it is over its rate

Cause: an account over its rate got tokens in the order of arrival, so that its billings were refused as often as its bookings. Change: the token request carries the rank of the route (last field; earlier versions are decoded).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -293,7 +293,7 @@
 	result := &takeReply{Seq: m.Seq, OK: true}
 	if ok {
 		var level float64
-		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Seen)
+		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Rank, m.Seen)
 		result.Level = &level
 	}
 	g.mesh.send(from.Address, kindTakeReply, result)
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -95,6 +95,7 @@
 		Account string
 		Seq     uint64
 		Seen    *limit.Observation // of the account's bucket at another owner; nil if the sender has none
+		Rank    *int               // of the route; nil from earlier versions
 	}
 
 	takeReply struct {
@@ -124,6 +125,9 @@
 	return decodeFields(decoder, m)
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *take) DecodeMsgpack(decoder *msgpack.Decoder) error { return decodeFields(decoder, m) }
+
 // decodeFields decodes a message of any version: fields that an earlier version lacks keep
 // their values, and those that a later version adds are not read. Package msgpack rejects an
 // array whose length is not the number of fields. It suits only a type that ends its datagram.
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -390,23 +390,28 @@
 	q.pool.RecordLease(now, vm)
 }
 
-// take takes a token of an account that this VM owns. seen is what the VM that asks
+// take takes a token of an account that this VM owns. rank is that of the request's route,
+// nil if it is not known. seen is what the VM that asks
 // knows of the bucket at another owner, or nil. level is the number of tokens left.
-func (q *quotas) take(now time.Time, account *platform.Account, vms int, seen *limit.Observation) (ok bool, retryAfter time.Duration, level float64) {
+func (q *quotas) take(now time.Time, account *platform.Account, vms int, rank *int, seen *limit.Observation) (ok bool, retryAfter time.Duration, level float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	quota := limit.Quota{Rate: account.Rate, Burst: account.Burst}
 	if seen != nil {
 		q.pool.Observe(now, account.Name, quota, vms, *seen)
 	}
-	ok, retryAfter = q.pool.Take(now, account.Name, quota, vms)
+	if rank == nil {
+		ok, retryAfter = q.pool.Take(now, account.Name, quota, vms)
+	} else {
+		ok, retryAfter = q.pool.TakeRanked(now, account.Name, quota, vms, *rank)
+	}
 	return ok, retryAfter, q.pool.Level(account.Name)
 }
 
-func (q *quotas) takeLocal(now time.Time, account *platform.Account, vms int) (bool, time.Duration) {
+func (q *quotas) takeLocal(now time.Time, account *platform.Account, vms, rank int) (bool, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.pool.TakeLocal(now, account.Name, limit.Quota{Rate: account.Rate, Burst: account.Burst}, vms)
+	return q.pool.TakeLocal(now, account.Name, limit.Quota{Rate: account.Rate, Burst: account.Burst}, vms, rank)
 }
 
 // readers returns the available members in the order in which they take the role of
--- a/gateway/owners_test.go
+++ b/gateway/owners_test.go
@@ -137,7 +137,7 @@
 		flood := func(span time.Duration) { // 100 requests a second
 			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				g := fleet[int(time.Now().UnixMilli()/10)%len(fleet)]
-				if ok, _, _ := g.admit(t.Context(), account); ok {
+				if ok, _, _ := g.admit(t.Context(), account, 0); ok {
 					admitted++
 				}
 			}
@@ -190,7 +190,7 @@
 	}
 	admitted := 0
 	for range 20 {
-		if ok, _, _ := g.admit(t.Context(), account); ok {
+		if ok, _, _ := g.admit(t.Context(), account, 0); ok {
 			admitted++
 		}
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -70,8 +70,9 @@
 }
 
 // admit takes a token of the account: from its owner, or from this VM's own part of
-// the rate if no owner replies or all VMs stop. decidedBy is the VM that decided.
-func (g *Gateway) admit(ctx context.Context, account *platform.Account) (ok bool, retryAfter time.Duration, decidedBy string) {
+// the rate if no owner replies or all VMs stop. rank is that of the route, which orders the
+// requests of one account. decidedBy is the VM that decided.
+func (g *Gateway) admit(ctx context.Context, account *platform.Account, rank int) (ok bool, retryAfter time.Duration, decidedBy string) {
 	if account == nil || account.Rate <= 0 {
 		return true, 0, ""
 	}
@@ -83,11 +84,11 @@
 		if owner.Name == g.self.Name {
 			now := g.now()
 			var level float64
-			ok, retryAfter, level = g.quotas.take(now, account, g.peers.count(), g.quotas.observation(now, account.Name, owner))
+			ok, retryAfter, level = g.quotas.take(now, account, g.peers.count(), &rank, g.quotas.observation(now, account.Name, owner))
 			g.quotas.recordReply(now, account.Name, owner, level)
 			return ok, retryAfter, owner.Name
 		}
-		token, retry := g.requestToken(ctx, owner, account)
+		token, retry := g.requestToken(ctx, owner, account, rank)
 		if token != nil {
 			return token.OK, token.RetryAfter, owner.Name
 		}
@@ -98,19 +99,19 @@
 	if ctx.Err() != nil {
 		return false, 0, g.self.Name
 	}
-	ok, retryAfter = g.localQuotas.takeLocal(g.now(), account, g.peers.count())
+	ok, retryAfter = g.localQuotas.takeLocal(g.now(), account, g.peers.count(), rank)
 	return ok, retryAfter, g.self.Name
 }
 
 // requestToken asks the owner of the account for a token. Without a reply, retry
 // reports whether to ask the present owner of the account.
-func (g *Gateway) requestToken(ctx context.Context, owner membership.Member, account *platform.Account) (token *takeReply, retry bool) {
+func (g *Gateway) requestToken(ctx context.Context, owner membership.Member, account *platform.Account, rank int) (token *takeReply, retry bool) {
 	seq := g.nextSeq()
 	replies := g.addPending(seq)
 	defer g.removePending(seq)
 	timer := newReplyTimer()
 	defer timer.stop()
-	message := &take{Account: account.Name, Seq: seq, Seen: g.quotas.observation(g.now(), account.Name, owner)}
+	message := &take{Account: account.Name, Seq: seq, Seen: g.quotas.observation(g.now(), account.Name, owner), Rank: &rank}
 	g.mesh.send(owner.Address, kindTake, message)
 	for {
 		select {
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -53,3 +53,26 @@
 		t.Errorf("route rank %d, want 2", got)
 	}
 }
+
+// A token request of a VM with an earlier version has no rank, and its account is served as before.
+func TestTokenRequestOfEarlierVersionHasNoRank(t *testing.T) {
+	type earlierTake struct {
+		Account string
+		Seq     uint64
+	}
+	datagram, err := encode("vm-2", kindTake, &earlierTake{Account: "acc", Seq: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, body, err := decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m take
+	if err := body.Decode(&m); err != nil {
+		t.Fatal(err)
+	}
+	if m.Account != "acc" || m.Rank != nil {
+		t.Errorf("decoded as %+v", m)
+	}
+}
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -28,6 +28,7 @@
 type poolBucket struct {
 	level    float64
 	filledAt time.Time
+	ranks    *bucketRanks // nil until requests have a rank
 }
 
 // Overage is what the operators allow an account beyond its limit in any span of length
@@ -68,16 +69,23 @@
 // Take takes one token of the account. If there is none, it returns how long until
 // there is one, within the bounds for callers.
 func (p *Pool) Take(now time.Time, account string, quota Quota, vms int) (ok bool, retryAfter time.Duration) {
-	return p.take(now, account, quota, p.weight(now, vms))
+	return p.take(now, account, quota, p.weight(now, vms), nil)
 }
 
-// TakeLocal takes a token out of this VM's own part, for the time in which the owner
-// does not answer and so does not use it.
-func (p *Pool) TakeLocal(now time.Time, account string, quota Quota, vms int) (ok bool, retryAfter time.Duration) {
-	return p.take(now, account, quota, fallbackFraction/float64(max(1, vms)))
+// TakeRanked takes one token for a request of a rank; 0 is the highest. While the account is
+// over its rate, its requests of higher ranks get tokens first.
+func (p *Pool) TakeRanked(now time.Time, account string, quota Quota, vms, rank int) (ok bool, retryAfter time.Duration) {
+	return p.take(now, account, quota, p.weight(now, vms), &rank)
 }
 
-func (p *Pool) take(now time.Time, account string, quota Quota, weight float64) (bool, time.Duration) {
+// TakeLocal takes a token for a request of a rank out of this VM's own part, for the time in
+// which the owner does not answer and so does not use it.
+func (p *Pool) TakeLocal(now time.Time, account string, quota Quota, vms, rank int) (ok bool, retryAfter time.Duration) {
+	return p.take(now, account, quota, fallbackFraction/float64(max(1, vms)), &rank)
+}
+
+// take takes a token for a request; rank is nil if it is not known.
+func (p *Pool) take(now time.Time, account string, quota Quota, weight float64, rank *int) (bool, time.Duration) {
 	if quota.Rate <= 0 {
 		return true, 0
 	}
@@ -86,19 +94,27 @@
 	if bucket == nil {
 		bucket = p.newBucket(now, account, p.initialLevel(quota, weight))
 	}
+	gained := 0.0
 	if elapsed := now.Sub(bucket.filledAt); elapsed > 0 {
-		bucket.level += rate * elapsed.Seconds()
+		gained = rate * elapsed.Seconds()
+		bucket.level += gained
 		bucket.filledAt = now
 	}
 	bucket.level = min(bucket.level, size)
-	if bucket.level >= 1 {
+	required := 1.0
+	if rank != nil {
+		required += bucket.keepFor(now, *rank, gained, size)
+	}
+	if bucket.level >= required {
 		bucket.level--
+		bucket.countGrant(rank)
 		return true, 0
 	}
+	bucket.countRefusal(now)
 	if rate <= 0 {
 		return false, maxPoolRetryAfter
 	}
-	wait := time.Duration((1 - bucket.level) / rate * float64(time.Second))
+	wait := time.Duration((required - bucket.level) / rate * float64(time.Second))
 	return false, min(maxPoolRetryAfter, max(minPoolRetryAfter, wait))
 }
 
@@ -142,6 +158,9 @@
 	}
 	if unused := now.Sub(bucket.filledAt); unused > seen.Age {
 		bucket.level = min(level, bucket.level+quota.Rate*weight*unused.Seconds())
+		if bucket.ranks != nil {
+			bucket.ranks.plain = min(bucket.ranks.plain, bucket.level)
+		}
 		bucket.filledAt = now
 	}
 }
--- a/limit/pool_test.go
+++ b/limit/pool_test.go
@@ -60,7 +60,7 @@
 			if owner := of(vm); owner >= 0 {
 				ok, _ = f.owners[owner].Take(f.now, "account", poolQuota, poolVMs)
 			} else {
-				ok, _ = f.local[vm].TakeLocal(f.now, "account", poolQuota, poolVMs)
+				ok, _ = f.local[vm].TakeLocal(f.now, "account", poolQuota, poolVMs, 0)
 			}
 			if ok {
 				f.taken = append(f.taken, f.now)
