placement, limit: Retry-After by rank, spread

Cause: all callers that were refused at a time got the same Retry-After, 100 ms for an account over its rate, so that they returned together and mostly found no slot or token again. Change: at services and accounts with several ranks, Retry-After is the expected wait behind what precedes the request by rank, or the backlog of its rank at the tokens that higher ranks leave, plus up to a half that differs from refusal to refusal. The bounds stay.

--- a/limit/pool.go
+++ b/limit/pool.go
@@ -23,6 +23,7 @@
 	overage  Overage
 	leasedAt map[string]time.Time // when a VM last leased its part
 	buckets  map[string]*poolBucket
+	spread   float64 // of the newest Retry-After by rank, 0 to 1
 }
 
 type poolBucket struct {
@@ -115,6 +116,9 @@
 		return false, maxPoolRetryAfter
 	}
 	wait := time.Duration((required - bucket.level) / rate * float64(time.Second))
+	if rank != nil && bucket.ranks.inForce {
+		return false, p.rankedRetryAfter(wait + bucket.ranks.backlog(now, *rank, rate))
+	}
 	return false, min(maxPoolRetryAfter, max(minPoolRetryAfter, wait))
 }
 
--- a/limit/rank.go
+++ b/limit/rank.go
@@ -15,7 +15,9 @@
 	minPoolRankRate  = 0.2              // requests per second from which the minimum of a rank is kept for it
 	maxPoolOwed      = 2                // tokens that a rank may have out of turn at once
 	overRateMemory   = time.Second      // since a bucket without ranks would have refused a request, in which the account counts as over its rate
-	maxPoolRanks     = 8                // ranks of an account that are counted; lower ones count as the lowest of them
+	poolReturnSpread = 0.5              // part of its Retry-After by which a caller is told to return later at most
+	goldenRatio      = 0.6180339887498949
+	maxPoolRanks     = 8 // ranks of an account that are counted; lower ones count as the lowest of them
 )
 
 // bucketRanks is what a Pool knows of the ranks of an account's requests. While the account is
@@ -23,9 +25,10 @@
 // a bucket without ranks would refuse some of its requests, so that no request of an
 // account within its rate is refused because of its rank.
 type bucketRanks struct {
-	uses   []rankUse // highest rank first
-	plain  float64   // level of a bucket without ranks, while the account is over its rate
-	overAt time.Time // when that bucket last refused a request; zero if it did not
+	uses    []rankUse // highest rank first
+	plain   float64   // level of a bucket without ranks, while the account is over its rate
+	overAt  time.Time // when that bucket last refused a request; zero if it did not
+	inForce bool      // the account is over its rate and its newest request was one of several ranks
 }
 
 // rankUse is the use of an account's tokens by the requests of one rank.
@@ -66,7 +69,8 @@
 	r.uses = slices.DeleteFunc(r.uses, func(u rankUse) bool { return now.Sub(u.updated) > poolRankMemory })
 	use := r.use(now, rank)
 	use.requested, use.updated = use.rate(now)*poolRankDecay.Seconds()+1, now
-	if !r.observePlain(now, gained, size) || len(r.uses) < 2 || use.owed >= 1 {
+	r.inForce = r.observePlain(now, gained, size) && len(r.uses) > 1
+	if !r.inForce || use.owed >= 1 {
 		return 0
 	}
 	keep := 0.0
@@ -120,3 +124,27 @@
 		b.ranks.plain, b.ranks.overAt = b.level, now
 	}
 }
+
+// backlog returns how long the tokens that higher ranks leave to a rank serve what it requests
+// in poolRoomTime beyond them. Callers that return earlier mostly find no token again.
+func (r *bucketRanks) backlog(now time.Time, rank int, rate float64) time.Duration {
+	left, requested := rate, 0.0
+	for i := range r.uses {
+		switch other := &r.uses[i]; {
+		case other.rank < rank:
+			left -= other.rate(now)
+		case other.rank == rank:
+			requested = other.rate(now)
+		}
+	}
+	left = max(left, minPoolRankShare*rate)
+	return time.Duration(min(maxPoolRetryAfter.Seconds(), max(0, requested/left-1)) * float64(poolRoomTime))
+}
+
+// rankedRetryAfter returns a Retry-After for an expected wait that differs from those before, so
+// that refused callers do not return together.
+func (p *Pool) rankedRetryAfter(wait time.Duration) time.Duration {
+	_, p.spread = math.Modf(p.spread + goldenRatio) // fills the interval evenly, however many values are taken
+	longest := float64(maxPoolRetryAfter) / (1 + poolReturnSpread)
+	return time.Duration(min(longest, float64(max(minPoolRetryAfter, wait))) * (1 + poolReturnSpread*p.spread))
+}
--- a/limit/rank_test.go
+++ b/limit/rank_test.go
@@ -154,3 +154,39 @@
 		t.Errorf("%.3f of the billings got a token, want 0.9", billings.admitted())
 	}
 }
+
+// Load: an account of 45 a second sends 250 bookings and 60 billings a second. Refused bookings
+// are told to return later than billings, and neither return together. All were told 100 ms, after
+// which five of six found no token again.
+func TestRefusedRequestsOfAnAccountReturnByRankAndSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	p, now := NewPool(time.Unix(0, 0), poolOverage), time.Unix(1000, 0)
+	retryAfter := map[int][]time.Duration{}
+	for i := range 5000 { // of 1 ms
+		now = now.Add(time.Millisecond)
+		for vm := range poolVMs {
+			p.RecordLease(now, string(rune('a'+vm)))
+		}
+		for _, s := range []rankedStream{{rank: 0, perSecond: 60}, {rank: 2, perSecond: 250}} {
+			if random.Float64() >= s.perSecond/1000 {
+				continue
+			}
+			if ok, after := p.TakeRanked(now, "account", poolQuota, poolVMs, s.rank); !ok && i > 2000 {
+				retryAfter[s.rank] = append(retryAfter[s.rank], after)
+			}
+		}
+	}
+	for rank, list := range retryAfter {
+		slices.Sort(list)
+		t.Logf("rank %d: %d refused callers return after %v to %v", rank, len(list), list[0], list[len(list)-1])
+		if len(slices.Compact(slices.Clone(list))) < len(list)*9/10 {
+			t.Errorf("rank %d: many of %d refused callers return at the same time", rank, len(list))
+		}
+	}
+	if len(retryAfter[0]) == 0 || len(retryAfter[2]) == 0 {
+		t.Fatal("no caller was refused")
+	}
+	if billing, booking := retryAfter[0][len(retryAfter[0])/2], retryAfter[2][len(retryAfter[2])/2]; 2*billing > booking {
+		t.Errorf("the median of the billings is %v, that of the bookings %v, want twice as long", billing, booking)
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -131,7 +131,7 @@
 			return false
 		}
 		r.fair.markDequeued(now, r)
-		retryAfter := b.retryAfter(now)
+		retryAfter := b.retryAfterFor(now, r, ahead)
 		if limitWait := b.limitWait(now, r, ahead.total()); limitWait > 0 {
 			reason, retryAfter = limitsReached, limitRetryAfter(limitWait)
 		}
@@ -168,15 +168,15 @@
 // rejectionReason returns why a new request cannot be served in time and when its caller
 // may try again, or "" if it can.
 func (b *Broker) rejectionReason(now time.Time, r *queued) (reason string, retryAfter time.Duration) {
-	if !b.hasUsableServer(now, r) {
-		return noServerLeft, b.retryAfter(now)
-	}
 	var ahead position
 	for _, other := range b.queue {
 		if !r.precedes(other) {
 			ahead.count(other.usage != r.usage)
 		}
 	}
+	if !b.hasUsableServer(now, r) {
+		return noServerLeft, b.retryAfterFor(now, r, ahead)
+	}
 	wait := b.admissionWait(now, r, ahead)
 	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
 	limitWait := b.limitWait(now, r, ahead.total())
@@ -186,7 +186,7 @@
 	case limitWait > 0:
 		return limitsReached, limitRetryAfter(limitWait)
 	}
-	return "the queue is too long", b.retryAfter(now)
+	return "the queue is too long", b.retryAfterFor(now, r, ahead)
 }
 
 // limitRetryAfter returns when the caller of a request may try again that waits at least
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -38,7 +38,8 @@
 	lastAt    time.Time    // time of the newest request
 	otherAt   time.Time    // time of the newest request whose route had another rank than lastRoute
 	inForce   bool
-	disabled  bool // for tests that compare with decisions without the rule
+	spread    float64 // of the newest Retry-After, 0 to 1
+	disabled  bool    // for tests that compare with decisions without the rule
 }
 
 // rankUsage is the use of the service by the requests of one rank.
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -340,3 +341,40 @@
 		t.Errorf("%d retries in 10 s, %d are allowed", most, bound)
 	}
 }
+
+// Load: 300 billings and 300 bookings that arrive at once at a service with 4 slots, of which
+// most are refused. Refused callers must not return together, and those of billings return
+// first. All were told the same time.
+func TestRefusedCallersReturnByRankAndSpread(t *testing.T) {
+	sim := newSimulation(1, 4)
+	retryAfter := map[int][]time.Duration{}
+	sim.onRefused = func(call simCall, d Decision) {
+		retryAfter[call.request.RouteRank] = append(retryAfter[call.request.RouteRank], d.RetryAfter)
+	}
+	for i := range 600 {
+		sim.request("vm0", func(r *Request) {
+			r.Priority, r.RouteRank = 2*(i%2), 2*(i%2)
+		})
+	}
+	for rank, list := range retryAfter {
+		slices.Sort(list)
+		together, first := 0, 0
+		for i, after := range list {
+			for after-list[first] > 20*time.Millisecond {
+				first++
+			}
+			together = max(together, i-first+1)
+		}
+		if together > len(list)/3 {
+			t.Errorf("rank %d: %d of %d callers return within 20 ms", rank, together, len(list))
+		}
+		if len(list) < 100 {
+			t.Errorf("rank %d: %d callers are refused, want 100", rank, len(list))
+		}
+		t.Logf("rank %d: %d callers return after %v to %v, at most %d within 20 ms", rank, len(list), list[0], list[len(list)-1], together)
+	}
+	billing, booking := retryAfter[0][len(retryAfter[0])/2], retryAfter[2][len(retryAfter[2])/2]
+	if billing >= booking {
+		t.Errorf("the median of the billings is %v, that of the bookings %v", billing, booking)
+	}
+}
--- a/placement/retryqueue.go
+++ b/placement/retryqueue.go
@@ -41,7 +41,7 @@
 // or the servers' limits are not expected to allow it in time.
 func (b *Broker) requestRetry(now time.Time, r *queued) []Decision {
 	if !b.hasUsableServer(now, r) {
-		return []Decision{b.refuse(now, r.ID, noServerLeft, b.retryAfter(now))}
+		return []Decision{b.refuse(now, r.ID, noServerLeft, b.retryAfterFor(now, r, position{own: len(b.queue)}))}
 	}
 	at := b.retryQueue.add(r)
 	var ahead position
@@ -55,7 +55,7 @@
 	}
 	if wait > longest {
 		b.retryQueue.remove(at)
-		return []Decision{b.refuse(now, r.ID, reason, retryRetryAfter(wait, reason))}
+		return []Decision{b.refuse(now, r.ID, reason, b.retryRetryAfter(wait, reason))}
 	}
 	return b.decideOrQueue(r, b.dispatch(now))
 }
@@ -107,7 +107,7 @@
 			ahead.own++
 			return false
 		}
-		decision := b.refuse(now, r.ID, reason, retryRetryAfter(wait, reason))
+		decision := b.refuse(now, r.ID, reason, b.retryRetryAfter(wait, reason))
 		decision.Waited = waited
 		decisions = append(decisions, decision)
 		return true
@@ -130,9 +130,9 @@
 }
 
 // retryRetryAfter returns when the caller of a refused retry may try again.
-func retryRetryAfter(wait time.Duration, reason string) time.Duration {
+func (b *Broker) retryRetryAfter(wait time.Duration, reason string) time.Duration {
 	if reason == limitsReached {
 		return limitRetryAfter(wait)
 	}
-	return min(maxRetryAfter, max(minRetryAfter, wait))
+	return b.spreadRetryAfter(wait)
 }
