--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,7 +265,7 @@
 		}
 		return b.Request(now, placement.Request{
 			ID: placement.RequestID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
+			Priority: m.Priority, RouteRank: routeRankOf(m), Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
 		})
 	})
 	g.sendDecisions(m.Service, decisions)
@@ -295,7 +295,7 @@
 	result := &takeReply{Seq: m.Seq, OK: true}
 	if ok {
 		var level float64
-		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Seen)
+		result.OK, result.RetryAfter, level = g.quotas.take(g.now(), &account, g.peers.count(), m.Rank, m.Seen)
 		result.Level = &level
 	}
 	g.mesh.send(from.Address, kindTakeReply, result)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -78,13 +78,14 @@
 	return q.account.Name
 }
 
-// priority returns the priority of the account, or that of the route if the account
-// has none.
-func (q *request) priority() int {
-	if q.account != nil && q.account.Priority > 0 {
-		return q.account.Priority
+// rank returns the rank of the account and then that of the route. A request without an
+// account has the route's rank in both places.
+func (q *request) rank() placement.Rank {
+	rank := placement.Rank{Account: q.route.Priority, Route: q.route.Priority}
+	if q.account != nil {
+		rank.Account = q.account.Priority
 	}
-	return q.route.Priority
+	return rank
 }
 
 // mayHaveRun reports whether a server may have run the request.
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -22,7 +22,8 @@
 	grants          grantTable
 	queue           []*queued
 	retryQueue      retryQueue
-	fairQueue       fairQueue
+	fairQueue       fairQueue // of all requests while the rule of ranks is not in force
+	ranks           rankTable
 	lastContact     map[string]time.Time // by VM name
 	retries         retryLimiter
 	latencyEstimate latencyEstimate
@@ -62,7 +63,7 @@
 			continue
 		}
 		for requestID := range s.running {
-			b.grants.remove(requestID)
+			b.release(requestID)
 		}
 		delete(b.servers, id)
 	}
@@ -89,19 +90,24 @@
 		return b.repeatDecision(request.ID)
 	}
 	r := &queued{Request: request, queuedAt: now}
+	b.observeRank(now, r)
 	if request.Retry {
 		return b.requestRetry(now, r)
 	}
 	b.retries.observeRequest(now)
 	b.inUseFloor.observeRequest(now, request.Safe)
-	b.fairQueue.assignRound(now, r)
+	r.fair.assignRound(now, r)
 	var decisions []Decision
 	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
-		decisions = b.dispatchRetries(now)
+		if b.ranks.inForce {
+			decisions = b.dispatchByRank(now)
+		} else {
+			decisions = b.dispatchRetries(now)
+		}
 	}
 	if len(b.queue) == 0 {
-		if s := b.choose(now, r, b.candidateSet(now)); s != nil {
-			b.fairQueue.markGranted(now, r)
+		if s := b.chooseLeavingRoom(now, r, b.candidateSet(now)); s != nil {
+			r.fair.markGranted(now, r)
 			return append(decisions, b.grant(now, r, s))
 		}
 	}
@@ -134,8 +140,13 @@
 func (b *Broker) Complete(now time.Time, id RequestID, serverID string, outcome Outcome, took time.Duration) []Decision {
 	b.lastContact[id.VM] = now
 	b.removeQueued(now, func(r *queued) bool { return r.ID == id })
-	if g := b.grants.get(id); g != nil && g.spentLimit && (outcome == Unreachable || outcome == Unused && serverID == "") {
-		g.server.restoreLimit(now)
+	if g := b.grants.get(id); g != nil {
+		if g.spentLimit && (outcome == Unreachable || outcome == Unused && serverID == "") {
+			g.server.restoreLimit(now)
+		}
+		if g.usage != nil && outcome == Answered {
+			g.usage.observeWork(took)
+		}
 	}
 	b.release(id)
 	b.countUnserved(now, outcome)
@@ -187,6 +198,7 @@
 	for _, s := range b.serversByID {
 		s.markOverdue(now, b.latencyEstimate.overdueLimit())
 	}
+	b.updateRankRule(now)
 	return append(b.expire(now), b.dispatch(now)...)
 }
 
@@ -223,7 +235,9 @@
 	if rate, limited := s.limit.rate(now); limited {
 		decision.Limit = rate
 	}
-	b.addGrant(r.ID, s, now).spentLimit = s.spendLimit(now)
+	g := b.addGrant(r.ID, s, now)
+	g.spentLimit, g.usage = s.spendLimit(now), r.usage
+	b.countRankGrant(r.usage)
 	return decision
 }
 
@@ -238,6 +252,9 @@
 func (b *Broker) release(id RequestID) {
 	if g := b.grants.get(id); g != nil {
 		delete(g.server.running, id)
+		if g.usage != nil {
+			g.usage.held--
+		}
 		if g.overdue {
 			g.server.overdue--
 		}
@@ -273,6 +290,15 @@
 	return best
 }
 
+// chooseLeavingRoom returns the best server for a request, or nil if the request should wait,
+// also because the free slots are kept for higher ranks.
+func (b *Broker) chooseLeavingRoom(now time.Time, r *queued, set *candidateSet) *server {
+	if s := b.choose(now, r, set); s != nil && b.leavesRoom(now, r, s, set) {
+		return s
+	}
+	return nil
+}
+
 // countUnserved counts requests that were not served. A retry may still serve some
 // of them, so the count can be slightly too high.
 func (b *Broker) countUnserved(now time.Time, outcome Outcome) {
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -16,19 +16,19 @@
 func (s *server) accepts() bool { return !s.Draining && !s.Evacuated }
 
 // refusalWithoutServer returns why a request is refused that no server may run, and when its
-// caller may try again.
-func (b *Broker) refusalWithoutServer(now time.Time) (reason string, retryAfter time.Duration) {
+// caller may try again, given the requests that precede it.
+func (b *Broker) refusalWithoutServer(now time.Time, r *queued, ahead position) (reason string, retryAfter time.Duration) {
 	lasted := time.Duration(0)
 	for _, s := range b.serversByID {
 		if s.accepts() {
-			return noServerLeft, b.retryAfter(now) // another attempt of the caller may use it
+			return noServerLeft, b.retryAfterFor(now, r, ahead) // another attempt of the caller may use it
 		}
 		if s.Evacuated && !s.Draining {
 			lasted = max(lasted, now.Sub(s.evacuatedAt))
 		}
 	}
 	if b.countNotEvacuated() == len(b.serversByID) {
-		return noServerLeft, b.retryAfter(now)
+		return noServerLeft, b.retryAfterFor(now, r, ahead)
 	}
 	return zonesEvacuated, min(maxEvacuationRetryAfter, max(minEvacuationRetryAfter, lasted))
 }
@@ -43,7 +43,7 @@
 		if slices.ContainsFunc(b.serversByID, func(s *server) bool { return s.accepts() && r.mayUse(s) }) {
 			return false
 		}
-		reason, after := b.refusalWithoutServer(now)
+		reason, after := b.refusalWithoutServer(now, r, position{})
 		d := b.refuse(now, r.ID, reason, after)
 		d.Waited = now.Sub(r.queuedAt)
 		decisions = append(decisions, d)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,7 +9,9 @@
 	maxLimitRetryAfter = time.Minute // while all servers have reached their limits; callers that return earlier are refused again
 	maxDispatchScan    = 32          // queued requests that are examined for a free slot in one dispatch
 	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
+	lateRefusalDivisor = 8           // a refusal after 1/8 of the target latency comes too late for its caller
 	admitWaitShare     = 0.85        // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
+	earlyWaitShare     = 1.0         // the same for a request that has waited for less than an eighth of its target latency and may lose its place to higher ranks: it can still be served elsewhere
 	expireWaitShare    = 1.25        // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
 )
 
@@ -17,7 +19,9 @@
 type queued struct {
 	Request
 	queuedAt time.Time
-	round    int // fair-queueing round among the requests of its priority
+	usage    *rankUsage // of its rank
+	fair     *fairQueue // that assigned the round
+	round    int        // fair-queueing round among the requests of its rank
 }
 
 // mayUse reports whether the request may be sent to the server.
@@ -38,17 +42,17 @@
 	return max(0, min(inTime, r.Left-mean))
 }
 
-// precedes orders a queue by priority, then by fair-queueing round, and within a round
-// by arrival.
+// precedes orders a queue by rank, then by fair-queueing round, and within a round by
+// arrival.
 func (r *queued) precedes(other *queued) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
+	if rank, otherRank := r.rank(), other.rank(); rank != otherRank {
+		return rank.precedes(otherRank)
 	}
 	return r.round < other.round
 }
 
 func (b *Broker) enqueue(now time.Time, r *queued) {
-	b.fairQueue.markQueued(now, r)
+	r.fair.markQueued(now, r)
 	b.queue = insertInOrder(b.queue, r)
 }
 
@@ -72,7 +76,7 @@
 		if !remove(r) {
 			return false
 		}
-		b.fairQueue.markDequeued(now, r)
+		r.fair.markDequeued(now, r)
 		return true
 	})
 }
@@ -80,6 +84,9 @@
 // dispatch grants free slots to retries that the budget allows, and then to queued
 // requests in queue order.
 func (b *Broker) dispatch(now time.Time) []Decision {
+	if b.ranks.inForce {
+		return b.dispatchByRank(now)
+	}
 	decisions := b.dispatchRetries(now)
 	if len(b.queue) == 0 {
 		return decisions
@@ -93,8 +100,8 @@
 			continue
 		}
 		b.queue = slices.Delete(b.queue, i, i+1)
-		b.fairQueue.markDequeued(now, r)
-		b.fairQueue.markGranted(now, r)
+		r.fair.markDequeued(now, r)
+		r.fair.markGranted(now, r)
 		decisions = append(decisions, b.grant(now, r, s))
 		set = b.candidateSet(now)
 	}
@@ -106,21 +113,26 @@
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
 	mean := b.latencyEstimate.meanLatency()
-	ahead := 0
+	var ahead position
+	var usage *rankUsage
+	expectedWait := b.queueWait(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
 		waited, maxWait, reason := now.Sub(r.queuedAt), r.maxWait(mean), ""
+		if r.usage != usage {
+			usage, ahead = r.usage, position{higher: ahead.total()}
+		}
 		switch {
 		case waited > maxWait:
 			reason = "waited too long"
-		case waited+b.expectedWait(now, ahead) > time.Duration(expireWaitShare*float64(maxWait)):
+		case waited+expectedWait(r, ahead) > time.Duration(b.expireShare(r, waited)*float64(maxWait)):
 			reason = "the queue grew"
 		default:
-			ahead++
+			ahead.own++
 			return false
 		}
-		b.fairQueue.markDequeued(now, r)
-		retryAfter := b.retryAfter(now)
-		if limitWait := b.limitWait(now, r, ahead); limitWait > 0 {
+		r.fair.markDequeued(now, r)
+		retryAfter := b.retryAfterFor(now, r, ahead)
+		if limitWait := b.limitWait(now, r, ahead.total()); limitWait > 0 {
 			reason, retryAfter = limitsReached, limitRetryAfter(limitWait)
 		}
 		d := b.refuse(now, r.ID, reason, retryAfter)
@@ -131,6 +143,15 @@
 	return decisions
 }
 
+// expireShare returns the multiple of maxWait that the expected wait of a queued request may
+// reach.
+func (b *Broker) expireShare(r *queued, waited time.Duration) float64 {
+	if b.ranks.inForce && waited <= r.Target/lateRefusalDivisor {
+		return earlyWaitShare
+	}
+	return expireWaitShare
+}
+
 // Reasons to refuse a request.
 const (
 	noServerLeft   = "no server is left"
@@ -148,26 +169,25 @@
 // rejectionReason returns why a new request cannot be served in time and when its caller
 // may try again, or "" if it can.
 func (b *Broker) rejectionReason(now time.Time, r *queued) (reason string, retryAfter time.Duration) {
-	if !b.hasUsableServer(now, r) {
-		return b.refusalWithoutServer(now)
-	}
-	ahead := 0
+	var ahead position
 	for _, other := range b.queue {
 		if !r.precedes(other) {
-			ahead++
+			ahead.count(other.usage != r.usage)
 		}
 	}
-	perSecond := 1 / max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
-	wait := max(b.expectedWait(now, ahead+1), b.fairQueue.wait(now, r.Account, perSecond))
+	if !b.hasUsableServer(now, r) {
+		return b.refusalWithoutServer(now, r, ahead)
+	}
+	wait := b.admissionWait(now, r, ahead)
 	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
-	limitWait := b.limitWait(now, r, ahead)
+	limitWait := b.limitWait(now, r, ahead.total())
 	switch {
 	case max(wait, limitWait) <= maxWait:
 		return "", 0
 	case limitWait > 0:
 		return limitsReached, limitRetryAfter(limitWait)
 	}
-	return "the queue is too long", b.retryAfter(now)
+	return "the queue is too long", b.retryAfterFor(now, r, ahead)
 }
 
 // limitRetryAfter returns when the caller of a request may try again that waits at least
