gateway, placement, catalog: rate of cold servers over the whole fleet

Cause: cold servers of services with coldPerS got what fits into their slots: up to 43 requests in a second each, with a bound of 14. Heartbeats changed neither the digest nor the Brokers, so only the VM that reads the store knew that a server had become cold long after its start. Change: the owner paces a cold server by a bucket of the type that named limits use. Whether a server is cold is part of the contents of the catalog if its service has coldPerS; the time left is counted down by each VM and passed on as what is left. Waits and Retry-After use the time at which servers become warm. Catalog.Changes takes the time; tests pass it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -45,6 +45,8 @@
 	keepUntil       time.Time // a removed server stays in use until then, because an outage may have caused the removal
 	contentRevision uint64    // revision of the newest change other than a heartbeat
 	digest          uint64
+	coldUntil       time.Time // expected end of a server's cold time, as the other VMs know it
+	prolonged       bool      // the cold time has become longer than the server said first
 }
 
 // Catalog holds the deployment state known to one VM. It is not safe for
@@ -88,10 +90,13 @@
 		c.remove(now, known, change, effect)
 		return
 	}
-	next := &item{Change: change, digest: digestOf(change), contentRevision: change.Revision}
+	next := &item{Change: change, digest: c.digestOf(change), contentRevision: change.Revision}
+	if change.Server != nil && change.Server.Cold > 0 {
+		next.coldUntil = now.Add(change.Server.Cold)
+	}
 	c.items[change.Key] = next
-	if known != nil && !known.Removed && known.digest == next.digest {
-		next.contentRevision = known.contentRevision // only a heartbeat
+	if known != nil && !known.Removed && known.digest == next.digest && !c.changesColdTime(known, next) {
+		next.contentRevision, next.coldUntil = known.contentRevision, known.coldUntil // only a heartbeat
 		return
 	}
 	if known != nil && !known.Removed {
@@ -143,6 +148,7 @@
 	c.digest ^= c.configDigest()
 	c.config, c.configItem = config, change
 	c.digest ^= c.configDigest()
+	c.updateDigests()
 	effect.Config = config
 	effect.Forward = append(effect.Forward, change)
 }
@@ -172,7 +178,7 @@
 // Changes returns the changes after the revision since, to be sent to another VM.
 // complete reports that they are the complete contents: since is 0, or removals after
 // since have been pruned.
-func (c *Catalog) Changes(since uint64) (changes []Change, complete bool) {
+func (c *Catalog) Changes(now time.Time, since uint64) (changes []Change, complete bool) {
 	if since < c.prunedRevision {
 		since = 0
 	}
@@ -187,6 +193,10 @@
 		if change.Removed {
 			change.Server, change.VM = nil, nil
 		}
+		if change.Server != nil {
+			server := c.withColdTimeLeft(now, i)
+			change.Server = &server
+		}
 		changes = append(changes, change)
 	}
 	return changes, since == 0
@@ -197,7 +207,7 @@
 	servers := map[string][]platform.Server{}
 	for _, i := range c.items {
 		if i.Server != nil && (!i.Removed || now.Before(i.keepUntil)) {
-			servers[i.Server.Service] = append(servers[i.Server.Service], *i.Server)
+			servers[i.Server.Service] = append(servers[i.Server.Service], c.withColdTimeLeft(now, i))
 		}
 	}
 	return servers
@@ -261,11 +271,15 @@
 	}
 }
 
-func digestOf(change Change) uint64 {
+func (c *Catalog) digestOf(change Change) uint64 {
 	switch {
 	case change.Server != nil:
 		s := change.Server
-		return hash(change.Key, s.Service, s.Address, s.Zone, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatInt(s.Born, 10))
+		digest := hash(change.Key, s.Service, s.Address, s.Zone, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatInt(s.Born, 10))
+		if s.Cold > 0 && c.pacesCold(s.Service) {
+			digest ^= hash(change.Key, "cold")
+		}
+		return digest
 	case change.VM != nil:
 		m := change.VM
 		return hash(change.Key, m.Address, m.Zone, strconv.FormatUint(m.Incarnation, 10))
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,7 +124,7 @@
 		t.Error("the same changes in another order give another digest")
 	}
 	third := New()
-	all, complete := one.Changes(0)
+	all, complete := one.Changes(start, 0)
 	if !complete {
 		t.Error("Changes(0) is not reported as complete")
 	}
@@ -140,12 +141,12 @@
 	c.Apply(start, []Change{server("a", 5, false), server("b", 6, false), config(3, 7)})
 	c.Apply(start, []Change{server("a", 20, false), server("b", 21, true), server("c", 22, false)})
 	c.Apply(start, []Change{{Key: platform.ServersPrefix + "c", Revision: 23, Removed: true}})
-	changes, complete := c.Changes(7)
+	changes, complete := c.Changes(start, 7)
 	if complete || len(changes) != 2 {
 		t.Errorf("after revision 7: %+v, complete %t; want two changes: b is draining, c was removed, and a has only sent a heartbeat", changes, complete)
 	}
 	c.Apply(start.Add(2*tombstoneTTL), []Change{server("d", 30, false)})
-	if changes, complete = c.Changes(7); !complete || len(changes) != 4 {
+	if changes, complete = c.Changes(start, 7); !complete || len(changes) != 4 {
 		t.Errorf("the removal of c was pruned, so all four items are wanted; got %+v, complete %t", changes, complete)
 	}
 }
@@ -164,7 +165,7 @@
 	if effect = c.Apply(start, []Change{{Key: key, Revision: 7}}); effect.Zones || len(effect.Forward) > 0 {
 		t.Errorf("writing the key again has the effect %+v", effect)
 	}
-	all, _ := c.Changes(0)
+	all, _ := c.Changes(start, 0)
 	other.Replace(start, all, 8)
 	if zones := other.EvacuatedZones(); len(zones) != 1 || zones[0] != "zone-b" || other.Digest() != c.Digest() {
 		t.Errorf("after a fetch of the contents the evacuated zones are %q", zones)
@@ -182,3 +183,87 @@
 		t.Error("a late message restored the evacuation")
 	}
 }
+
+// coldConfig is a configuration whose cold servers of service a get fewer requests.
+func coldConfig(version, revision uint64) Change {
+	change := config(version, revision)
+	change.Config = []byte(strings.Replace(string(change.Config), `"a":{}`, `"a":{"coldPerS":3}`, 1))
+	return change
+}
+
+// coldServer is a record of server s with the cold time that is left.
+func coldServer(revision uint64, cold time.Duration) Change {
+	change := server("s", revision, false)
+	change.Server.Cold = cold
+	return change
+}
+
+// Load: the heartbeats of a server that becomes cold long after its start, becomes cold again
+// before it is warm, and then warm. Guards against VMs that do not learn of these three changes,
+// and against heartbeats between them that cost a message.
+func TestColdTimesReachOtherVMs(t *testing.T) {
+	c := New()
+	c.Apply(start, []Change{coldConfig(3, 1), coldServer(5, 0)})
+	warm := c.Digest()
+	now, revision := start, uint64(5)
+	beat := func(cold time.Duration) Effect {
+		now, revision = now.Add(1500*time.Millisecond), revision+1
+		return c.Apply(now, []Change{coldServer(revision, cold)})
+	}
+	for i, step := range []struct {
+		cold time.Duration
+		news bool
+	}{
+		{0, false}, {20 * time.Second, true}, {18500 * time.Millisecond, false}, {17500 * time.Millisecond, false},
+		{20 * time.Second, true}, {18500 * time.Millisecond, true}, // again: a VM may have missed the heartbeat before
+		{0, true}, {0, false},
+	} {
+		effect := beat(step.cold)
+		if effect.Servers != step.news || len(effect.Forward) > 0 != step.news {
+			t.Errorf("heartbeat %d has the effect %+v, want news: %t", i, effect, step.news)
+		}
+		if (c.Digest() == warm) != (step.cold == 0) {
+			t.Errorf("heartbeat %d: the digest is that of a warm server: %t", i, c.Digest() == warm)
+		}
+	}
+}
+
+// Guards against a cold time that starts anew at each VM that gets it from another one, and
+// against a server that counts as warm before its record says so.
+func TestColdTimeRunsOutOnTheWay(t *testing.T) {
+	c, other := New(), New()
+	c.Apply(start, []Change{coldConfig(3, 1), coldServer(5, 20*time.Second)})
+	later := start.Add(15 * time.Second)
+	all, _ := c.Changes(later, 0)
+	other.Replace(later, all, 9)
+	if left := other.Servers(later)["a"][0].Cold; left != 5*time.Second {
+		t.Errorf("15 s after a record of 20 s, the server is cold for %v", left)
+	}
+	if left := other.Servers(later.Add(time.Minute))["a"][0].Cold; left <= 0 || other.Digest() != c.Digest() {
+		t.Errorf("a minute later, the server is cold for %v, although no record has said that it is warm", left)
+	}
+}
+
+// Guards against messages and digests that change for services without coldPerS, and against VMs
+// that differ because one read the configuration after the records.
+func TestColdTimesMatterOnlyWithARate(t *testing.T) {
+	c, other := New(), New()
+	c.Apply(start, []Change{config(3, 1), coldServer(5, 0)})
+	before := c.Digest()
+	for i, cold := range []time.Duration{20 * time.Second, 30 * time.Second, 0} {
+		if effect := c.Apply(start, []Change{coldServer(uint64(6+i), cold)}); effect.Servers || len(effect.Forward) > 0 || c.Digest() != before {
+			t.Errorf("a heartbeat with a cold time of %v has the effect %+v", cold, effect)
+		}
+	}
+	c.Apply(start, []Change{coldServer(10, time.Second), coldConfig(4, 11)})
+	other.Apply(start, []Change{coldConfig(4, 11), coldServer(10, time.Second)})
+	if c.Digest() != other.Digest() {
+		t.Error("the digest depends on the order of configuration and records")
+	}
+	c.Apply(start, []Change{config(5, 12)})
+	other = New()
+	other.Apply(start, []Change{config(5, 12), coldServer(10, 0)})
+	if c.Digest() != other.Digest() {
+		t.Error("the digest depends on cold times although no service has a rate")
+	}
+}
--- a/catalog/outage_test.go
+++ b/catalog/outage_test.go
@@ -121,7 +121,7 @@
 	to.MarkStoreUp(f.now.Add(-from.Age(f.now)))
 	to.Apply(f.now, changes)
 	if to.Digest() != from.Digest() {
-		all, _ := from.Changes(0)
+		all, _ := from.Changes(start, 0)
 		to.Replace(f.now, all, from.Revision()+1)
 	}
 	to.MarkSynced(f.now.Add(-from.Age(f.now)), from.Revision())
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -247,11 +247,14 @@
 		f.mu.Unlock()
 		f.g.peers.setRegistered(f.g.now(), registered)
 	}
-	if effect.Servers || effect.Zones {
+	current := f.g.table.Load()
+	newer := effect.Config != nil && (current == nil || current.config.Version < effect.Config.Version)
+	ratesChanged := newer && f.g.setColdRates(effect.Config)
+	if effect.Servers || effect.Zones || ratesChanged {
 		f.refreshServers(source)
 	}
 	// The first configuration lets requests in, so it comes after their servers.
-	if current := f.g.table.Load(); effect.Config != nil && (current == nil || current.config.Version < effect.Config.Version) {
+	if newer {
 		if f.g.table.Swap(newTable(effect.Config)) == nil {
 			close(f.g.loaded)
 		}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -35,6 +35,7 @@
 	key     string // of the only account
 	rate    int
 	public  bool
+	cold    float64 // requests per second that a cold server can handle
 }
 
 var defaultParameters = configParameters{kind: "unsafe", timeout: "2000ms", key: "k1"}
@@ -58,6 +59,7 @@
 	f.version++
 	f.store.Put(platform.ConfigKey, platformtest.Configuration{
 		Version:  f.version,
+		ColdPerS: parameters.cold,
 		Routes:   []platformtest.Route{{Name: "r", Prefix: "/r/", Kind: parameters.kind, Timeout: parameters.timeout, Service: "svc", MaxAttempts: 2, Public: parameters.public}},
 		Accounts: []platformtest.Account{{Name: "acc", Keys: []string{parameters.key}, Rate: parameters.rate, Burst: parameters.rate}},
 	}.Encode())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -336,6 +336,7 @@
 		g.follower.tick(now)
 		g.backend.pool.sweep(now)
 		serverLimits.Set(float64(g.owned.countLimits()))
+		coldServers.Set(float64(g.owned.countCold(now)))
 		if waiting {
 			sleep(ctx, tickPeriod)
 			continue
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -249,6 +249,7 @@
 	mu                sync.Mutex
 	services          map[string]*placement.Broker
 	servers           map[string][]placement.Server
+	coldPerS          map[string]float64 // requests per second that a cold server gets, by service
 	policy            placement.Policy
 	seed              uint64
 	onAvoidanceChange func(service string, change placement.AvoidanceChange) // called for each change in the avoidance of a server; may be nil
@@ -269,6 +270,7 @@
 	broker := b.services[service]
 	if broker == nil {
 		broker = placement.NewBroker(b.policy, b.seed)
+		broker.SetColdRate(now, b.coldPerS[service])
 		broker.SetServers(now, b.servers[service])
 		b.services[service] = broker
 		if b.knownLimits != nil {
@@ -309,7 +311,13 @@
 	b.servers = map[string][]placement.Server{}
 	for service, registered := range servers {
 		for _, s := range registered {
-			b.servers[service] = append(b.servers[service], placement.Server{ID: s.ID, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining, Evacuated: slices.Contains(evacuated, s.Zone), Cold: s.Cold, Born: s.Born})
+			server := placement.Server{
+				ID: s.ID, Zone: s.Zone, Slots: s.Slots, Draining: s.Draining, Evacuated: slices.Contains(evacuated, s.Zone), Cold: s.Cold, Born: s.Born,
+			}
+			if s.Cold > 0 {
+				server.ColdUntil = now.Add(s.Cold)
+			}
+			b.servers[service] = append(b.servers[service], server)
 		}
 	}
 	decisions := map[string][]placement.Decision{}
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -169,7 +169,7 @@
 		return
 	}
 	f.mu.Lock()
-	changes, whole := f.catalog.Changes(since)
+	changes, whole := f.catalog.Changes(time.Now(), since)
 	message := &update{Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes, Whole: whole}
 	f.mu.Unlock()
 	content, err := encodeBody(message)
--- a/gateway/serverlog.go
+++ b/gateway/serverlog.go
@@ -18,20 +18,21 @@
 		return
 	}
 	detailed := source == sourceStore
+	table := g.table.Load()
 	added, changed, gone := 0, 0, 0
 	for id, server := range after {
 		old, known := before[id]
 		switch {
 		case !known:
 			added++
-		case old.Draining != server.Draining || old.Born != server.Born:
+		case old.Draining != server.Draining || old.Born != server.Born, (old.Cold > 0) != (server.Cold > 0) && table.isPaced(server):
 			changed++
 		default:
 			continue
 		}
 		if detailed {
 			g.log.Info("server", zap.String("server", id), zap.String("service", server.Service), zap.String("address", server.Address),
-				zap.Bool("draining", server.Draining), zap.Int64("born", server.Born), zap.String("source", source))
+				zap.Bool("draining", server.Draining), zap.Int64("born", server.Born), zap.Duration("cold", server.Cold), zap.String("source", source))
 		}
 	}
 	for id, server := range before {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -28,6 +28,7 @@
 	latencyEstimate latencyEstimate
 	inUseFloor      inUseFloor
 	limits          limitTable
+	coldPerS        float64 // requests per second that a cold server gets; 0 for any number
 	changes         []AvoidanceChange
 	share           failingShare // estimated share of failing servers
 	failurePeriod   failurePeriodEstimate
@@ -53,9 +54,11 @@
 		known[r.ID] = true
 		if s := b.servers[r.ID]; s != nil {
 			s.register(now, r)
+			b.updateCold(now, s)
 			continue
 		}
 		b.servers[r.ID] = newServer(now, r, &b.failurePeriod)
+		b.updateCold(now, b.servers[r.ID])
 	}
 	for id, s := range b.servers {
 		if known[id] {
@@ -96,7 +99,7 @@
 	b.inUseFloor.observeRequest(now, request.Safe)
 	b.fairQueue.assignRound(now, r)
 	var decisions []Decision
-	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
+	if len(b.limits.limits) > 0 || b.coldPerS > 0 { // time alone lets these servers accept more, and retries wait for it
 		decisions = b.dispatchRetries(now)
 	}
 	if len(b.queue) == 0 {
@@ -220,7 +223,7 @@
 		ID: r.ID, Verdict: Granted, Server: s.ID, Waited: now.Sub(r.queuedAt), Queue: len(b.queue),
 		Failing: s.health.failingProbability(now, b.share.value), AtLimit: b.limits.reached,
 	}
-	if rate, limited := s.limit.rate(now); limited {
+	if rate, limited := s.pacedRate(now); limited {
 		decision.Limit = rate
 	}
 	b.addGrant(r.ID, s, now).spentLimit = s.spendLimit(now)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -135,6 +135,7 @@
 const (
 	noServerLeft   = "no server is left"
 	limitsReached  = "all servers have reached the limits that they named"
+	serversCold    = "all servers are cold or have reached the limits that they named"
 	zonesEvacuated = "all servers are in evacuated zones"
 )
 
@@ -177,6 +178,9 @@
 }
 
 func (b *Broker) refuse(now time.Time, id RequestID, reason string, after time.Duration) Decision {
+	if reason == limitsReached && b.ColdServers(now) > 0 {
+		reason = serversCold
+	}
 	b.inUseFloor.observeUnserved(now)
 	return Decision{ID: id, Verdict: Refused, Reason: reason, RetryAfter: after, Queue: len(b.queue), AtLimit: b.limits.reached}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -25,7 +25,11 @@
 	used          time.Time              // time of the newest grant; zero if there was none
 	joinedAt      time.Time
 	evacuatedAt   time.Time // since which its zone is evacuated
-	latency       float64   // mean of its answers, seconds; 0 if unknown
+	returnedAt    time.Time // when the last evacuation of its zone ended
+	coldPerS      float64   // requests per second that it gets while it is cold; 0 for any number
+	coldUntil     time.Time // until which it gets coldPerS, unless its record changes
+	coldBucket    bucket
+	latency       float64 // mean of its answers, seconds; 0 if unknown
 	fullUntil     time.Time
 	downUntil     time.Time
 	running       map[RequestID]*grant
@@ -46,13 +50,17 @@
 func (s *server) register(now time.Time, registered Server) {
 	if s.ID == "" || s.Born != registered.Born {
 		s.health, s.latency, s.used, s.joinedAt, s.limit = health{}, 0, time.Time{}, now, nil
+		s.coldUntil, s.returnedAt = time.Time{}, time.Time{}
 		clear(s.connected)
 	}
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
 		s.warmupUntil = warmupEnd
 	}
-	if registered.Evacuated && !s.Evacuated {
+	switch {
+	case registered.Evacuated && !s.Evacuated:
 		s.evacuatedAt = now
+	case !registered.Evacuated && s.Evacuated:
+		s.returnedAt = now
 	}
 	s.Server = registered
 }
--- a/placement/serverlimit.go
+++ b/placement/serverlimit.go
@@ -58,10 +58,15 @@
 // serverLimit paces the requests to one server that has named a limit.
 type serverLimit struct {
 	ServerLimit
+	bucket
 	recoversFrom float64 // limit that ended at ServerLimit.At; 0 if there was none
 	endedAt      time.Time
-	tokens       float64 // requests that may be granted now
-	filledAt     time.Time
+}
+
+// bucket paces the requests to one server, because of its limit or because it is cold.
+type bucket struct {
+	tokens   float64 // requests that may be granted now
+	filledAt time.Time
 }
 
 // limitTable holds the limits of a service's servers by server ID.
@@ -123,8 +128,7 @@
 	case known == nil && said.Rate < 0:
 		return false // the usual answer
 	case known == nil || known.Born < said.Born:
-		known = &serverLimit{ServerLimit: ServerLimit{Server: said.Server, Rate: Unlimited}, filledAt: now}
-		known.tokens = t.initialTokens()
+		known = &serverLimit{ServerLimit: ServerLimit{Server: said.Server, Rate: Unlimited}, bucket: bucket{tokens: t.initialTokens(), filledAt: now}}
 		t.limits[said.Server] = known
 	case known.Born > said.Born || !said.At.After(known.At):
 		return false
@@ -229,68 +233,118 @@
 	return 0, false
 }
 
-// fillLimit adds the tokens of the time that has passed, and reports whether the server's
-// limit allows another request.
-func (b *Broker) fillLimit(now time.Time, s *server) bool {
+// pacedRate returns the requests per second that the server may get from all VMs now, by its
+// limit and because it is cold; ok is false if any number is allowed.
+func (s *server) pacedRate(now time.Time) (perSecond float64, ok bool) {
 	rate, limited := s.limit.rate(now)
-	if !limited {
-		return true
+	coldRate, cold := s.coldRate(now)
+	switch {
+	case limited && cold:
+		return min(rate, coldRate), true
+	case cold:
+		return coldRate, true
+	}
+	return rate, limited
+}
+
+// fillLimit adds the tokens of the time that has passed, and reports whether the server may
+// get another request by its limit and, if it is cold, by its cold rate.
+func (b *Broker) fillLimit(now time.Time, s *server) bool {
+	allowed := true
+	if rate, limited := s.limit.rate(now); limited {
+		allowed = b.fill(now, &s.limit.bucket, rate)
 	}
+	if rate, cold := s.coldRate(now); cold {
+		allowed = b.fill(now, &s.coldBucket, rate) && allowed
+	}
+	return allowed
+}
+
+// fill adds the tokens of the time that has passed at the rate of all VMs, and reports whether
+// there is one for another request.
+func (b *Broker) fill(now time.Time, tokens *bucket, rate float64) bool {
 	rate *= b.limitShare()
-	elapsed := now.Sub(s.limit.filledAt)
-	s.limit.filledAt = now
+	elapsed := now.Sub(tokens.filledAt)
+	tokens.filledAt = now
 	if b.limits.fleet.Alone && elapsed > limitReset {
-		s.limit.tokens, elapsed = b.limits.initialTokens(), 0
+		tokens.tokens, elapsed = b.limits.initialTokens(), 0
 	}
-	s.limit.tokens = min(max(1, rate*limitBurst.Seconds()), s.limit.tokens+rate*max(0, elapsed).Seconds())
-	return s.limit.tokens >= 1
+	tokens.tokens = min(max(1, rate*limitBurst.Seconds()), tokens.tokens+rate*max(0, elapsed).Seconds())
+	return tokens.tokens >= 1
 }
 
-// spendLimit counts a granted request, and reports whether the server has a limit.
+// spendLimit counts a granted request, and reports whether the server's requests are paced.
 func (s *server) spendLimit(now time.Time) bool {
 	_, limited := s.limit.rate(now)
 	if limited {
 		s.limit.tokens--
 	}
-	return limited
+	_, cold := s.coldRate(now)
+	if cold {
+		s.coldBucket.tokens--
+	}
+	return limited || cold
 }
 
-// restoreLimit returns the token of a grant whose request was not sent.
+// restoreLimit returns the tokens of a grant whose request was not sent.
 func (s *server) restoreLimit(now time.Time) {
 	if _, limited := s.limit.rate(now); limited {
 		s.limit.tokens++
 	}
+	if _, cold := s.coldRate(now); cold {
+		s.coldBucket.tokens++
+	}
 }
 
-// usableSlots returns the number of slots that the server's limit lets it use, given the
-// mean time for which a request holds one. The parts of all VMs count, because those that a
-// new owner has not heard from report within half a second.
+// usableSlots returns the number of slots that the server's limit or cold rate lets it use,
+// given the mean time for which a request holds one. The parts of all VMs count, because those
+// that a new owner has not heard from report within half a second. For a server that becomes
+// warm soon, it is the average over warmHorizon.
 func (s *server) usableSlots(now time.Time, mean time.Duration) float64 {
+	slots := float64(s.Slots)
+	if rate, cold := s.coldRate(now); cold {
+		share := min(1, s.untilWarm(now).Seconds()/warmHorizon.Seconds())
+		slots = share*min(slots, rate*mean.Seconds()) + (1-share)*slots
+	}
 	if rate, limited := s.limit.rate(now); limited {
-		return min(float64(s.Slots), rate*mean.Seconds())
+		slots = min(slots, rate*mean.Seconds())
 	}
-	return float64(s.Slots)
+	return slots
 }
 
 // limitWait returns how long the request is expected to wait because all servers that may
-// get it have reached their limits, if the given number of requests precede it. The parts
-// of all VMs count, as in usableSlots.
+// get it have reached their limits or are cold, if the given number of requests precede it.
+// The parts of all VMs count, as in usableSlots.
 func (b *Broker) limitWait(now time.Time, r *queued, ahead int) time.Duration {
 	perSecond, tokens := 0.0, 0.0
+	var warmUps []warmUp
 	for _, s := range b.serversByID {
 		if !s.accepts() || !r.mayUse(s) || !s.reachableFrom(now, r.ID.VM) {
 			continue
 		}
-		rate, limited := s.limit.rate(now)
+		rate, limited := s.pacedRate(now)
 		if !limited {
 			return 0
 		}
 		perSecond += rate
-		tokens += s.limit.tokens
+		available := 0.0
+		if _, named := s.limit.rate(now); named {
+			available = s.limit.tokens
+		}
+		if _, cold := s.coldRate(now); cold {
+			available = s.coldBucket.tokens
+			if limit, named := s.limit.rate(now); named {
+				available = min(available, s.limit.tokens)
+				warmUps = append(warmUps, warmUp{s.untilWarm(now), limit - rate})
+			} else {
+				warmUps = append(warmUps, warmUp{s.untilWarm(now), max(0, float64(s.Slots)/max(minSlotWait.Seconds(), b.latencyEstimate.mean)-rate)})
+			}
+		}
+		tokens += available
 	}
 	missing := float64(ahead+1) - tokens
 	if missing <= 0 || perSecond == 0 {
 		return 0
 	}
-	return time.Duration(missing / perSecond * float64(time.Second))
+	return waitFor(missing, perSecond, warmUps)
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -17,6 +17,7 @@
 	Draining  bool
 	Evacuated bool          // the operators evacuate its zone: it gets no requests
 	Cold      time.Duration // time left in which it is slow after its start
+	ColdUntil time.Time     // expected end of its cold time, if its record says that it is cold; else zero
 	Born      int64         // start time, Unix milliseconds; a change means a new process
 }
 
