--- a/placement/broker.go
+++ b/placement/broker.go
@@ -29,6 +29,7 @@
 	latencyEstimate latencyEstimate
 	inUseFloor      inUseFloor
 	limits          limitTable
+	coldPerS        float64 // requests per second that a cold server gets; 0 for any number
 	changes         []AvoidanceChange
 	share           failingShare // estimated share of failing servers
 	failurePeriod   failurePeriodEstimate
@@ -54,9 +55,11 @@
 		known[r.ID] = true
 		if s := b.servers[r.ID]; s != nil {
 			s.register(now, r)
+			b.updateCold(now, s)
 			continue
 		}
 		b.servers[r.ID] = newServer(now, r, &b.failurePeriod)
+		b.updateCold(now, b.servers[r.ID])
 	}
 	for id, s := range b.servers {
 		if known[id] {
@@ -98,7 +101,7 @@
 	b.inUseFloor.observeRequest(now, request.Safe)
 	r.fair.assignRound(now, r)
 	var decisions []Decision
-	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
+	if len(b.limits.limits) > 0 || b.coldPerS > 0 { // time alone lets these servers accept more, and retries wait for it
 		if b.ranks.inForce {
 			decisions = b.dispatchByRank(now)
 		} else {
@@ -232,7 +235,7 @@
 		ID: r.ID, Verdict: Granted, Server: s.ID, Waited: now.Sub(r.queuedAt), Queue: len(b.queue),
 		Failing: s.health.failingProbability(now, b.share.value), AtLimit: b.limits.reached,
 	}
-	if rate, limited := s.limit.rate(now); limited {
+	if rate, limited := s.pacedRate(now); limited {
 		decision.Limit = rate
 	}
 	g := b.addGrant(r.ID, s, now)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -156,6 +156,7 @@
 const (
 	noServerLeft   = "no server is left"
 	limitsReached  = "all servers have reached the limits that they named"
+	serversCold    = "all servers are cold or have reached the limits that they named"
 	zonesEvacuated = "all servers are in evacuated zones"
 )
 
@@ -197,6 +198,9 @@
 }
 
 func (b *Broker) refuse(now time.Time, id RequestID, reason string, after time.Duration) Decision {
+	if reason == limitsReached && b.ColdServers(now) > 0 {
+		reason = serversCold
+	}
 	b.inUseFloor.observeUnserved(now)
 	return Decision{ID: id, Verdict: Refused, Reason: reason, RetryAfter: after, Queue: len(b.queue), AtLimit: b.limits.reached}
 }
