gateway: idempotent pipelined requests run at once

Change: a hook in the Read of a caller's connection reads ahead in net/http's background read, and runs idempotent requests without a body through the usual stages. net/http still parses each request in its turn, and its handler lets the early run write its answer.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lacewingmount.dev/sockets"
@@ -128,14 +129,61 @@
 	return &callerConn{Conn: conn}, nil
 }
 
-// callerConn is a connection of a caller.
+// CallerConn is a connection of a caller, as the ConnContext of the HTTP server gets it.
+type CallerConn interface {
+	net.Conn
+	// SetHook makes the HTTP server read through the hook. It must be called before the first read.
+	SetHook(hook ConnHook)
+	// ReadSocket reads from the socket, past the hook.
+	ReadSocket(p []byte) (int, error)
+	// SyscallConn returns access to the socket. It fails if there is none.
+	SyscallConn() (syscall.RawConn, error)
+}
+
+// ConnHook is between the HTTP server and the connection of a caller.
+type ConnHook interface {
+	// Read replaces the Read of the connection. There is one call at a time.
+	Read(p []byte) (int, error)
+	// End is called before the connection is closed in one or both directions, maybe repeatedly.
+	End()
+}
+
+// callerConn implements CallerConn.
 type callerConn struct {
 	net.Conn
+	hook     ConnHook     // nil if there is none
 	lastRead atomic.Int64 // when data was read, Unix nanoseconds; 0 if never
 }
 
+// SetHook implements CallerConn.
+func (c *callerConn) SetHook(hook ConnHook) { c.hook = hook }
+
+// SyscallConn implements CallerConn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.hook != nil {
+		return c.hook.Read(p)
+	}
+	return c.ReadSocket(p)
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.hook != nil {
+		c.hook.End()
+	}
+	return c.Conn.Close()
+}
+
+// ReadSocket implements CallerConn.
+func (c *callerConn) ReadSocket(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
@@ -146,6 +194,9 @@
 // CloseWrite ends the outgoing direction. The HTTP server uses it so that a caller gets a
 // response that precedes the end of its request.
 func (c *callerConn) CloseWrite() error {
+	if c.hook != nil {
+		c.hook.End()
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -63,6 +63,10 @@
 	case statusMeansNotRun(x.status):
 		return &refusal{http.StatusBadGateway, 0, "server answered " + strconv.Itoa(x.status) + " and may have run the request"}
 	}
+	if !q.awaitTurn(http.StatusBadGateway, "caller left") {
+		q.closeRest(x)
+		return nil
+	}
 	header := q.w.Header()
 	for name, values := range endToEnd(x.header) {
 		header[name] = values
@@ -111,12 +115,15 @@
 }
 
 func (q *request) closeIfStopping() {
-	if q.g.isStopping() {
+	if q.g.isStopping() && q.pipeline.stopRunningAhead() {
 		q.w.Header().Set("Connection", "close")
 	}
 }
 
 func (q *request) refuse(f *refusal) {
+	if !q.awaitTurn(f.status, f.reason) {
+		return
+	}
 	header := q.w.Header()
 	platform.SetRequestID(header, q.caller.RequestID)
 	if f.retryAfter > 0 {
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -118,6 +118,7 @@
 	method, uri, host, id string
 	header                http.Header
 	body                  []byte
+	early                 *earlyRun // nil if the request is not run early
 }
 
 // exchange is one attempt of a request at one server.
@@ -218,7 +219,7 @@
 			x.unusable = true // answers may no longer match requests on this connection
 			continue
 		}
-		return x.read(response)
+		return x.read(response, request.early.reserveBody)
 	}
 	return errOtherRequest
 }
@@ -266,20 +267,26 @@
 	return nil
 }
 
-// read reads an answer: completely, or the first maxBufferedBody bytes of a longer one.
-func (x *exchange) read(response *http.Response) error {
+// read reads an answer: completely, or the first bytes of one that is longer than reserve
+// allows. reserve is called with a length in bytes and returns how many may be read.
+func (x *exchange) read(response *http.Response, reserve func(length int) int) error {
 	x.status, x.header = response.StatusCode, response.Header
 	x.unusable = x.unusable || response.Close
 	headers := platform.ReadResponseHeaders(x.status, x.header)
 	if x.status < http.StatusMultipleChoices && !headers.Signed {
 		return errUnsigned
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	length := maxBufferedBody
+	if response.ContentLength >= 0 {
+		length = int(min(response.ContentLength, maxBufferedBody))
+	}
+	limit := reserve(length)
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		return err
 	}
 	x.body = body
-	if len(body) > maxBufferedBody {
+	if len(body) > limit {
 		x.rest = response
 		return nil
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -37,7 +37,7 @@
 	}
 	q.outbound = &outbound{
 		method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.caller.RequestID,
-		header: endToEnd(q.r.Header), body: body,
+		header: endToEnd(q.r.Header), body: body, early: q.early,
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	localQuotas  *quotas                                    // used when an account's owner does not answer
 	running      *inFlight
 	confirmed    *confirmedLimits // limits of servers that the owners know
+	pipelined    *pipelineBudget  // of requests that are read or run ahead of their turn
 	seq          atomic.Uint64
 	active       atomic.Int64 // caller requests in progress
 	lastArrival  atomic.Int64 // time of the newest request's arrival, Unix nanoseconds
@@ -87,7 +88,8 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(), confirmed: &confirmedLimits{confirmations: map[string]limitConfirmation{}},
-		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
+		pipelined: newPipelineBudget(settings.MemoryMB),
+		loaded:    make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
 		callerStallTimeout: callerStallTimeout,
 	}
 	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
@@ -148,7 +150,7 @@
 // server writes by itself, and replaces the limit of the previous answer; see limitWrite.
 func (g *Gateway) newServer() *http.Server {
 	return &http.Server{
-		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving },
+		Handler: g, BaseContext: func(net.Listener) context.Context { return g.serving }, ConnContext: g.attachPipeline,
 		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: callerStallTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ErrorLog: zap.NewStdLog(g.log),
 	}
--- a/gateway/panics.go
+++ b/gateway/panics.go
@@ -26,7 +26,9 @@
 	case answerBegun:
 		panic(http.ErrAbortHandler) // the caller must not take the answer for complete
 	}
-	clear(q.w.Header()) // of an answer that could not be begun
+	if q.w != nil {
+		clear(q.w.Header()) // of an answer that could not be begun
+	}
 	status := http.StatusInternalServerError
 	if q.mayHaveRun() {
 		status = http.StatusBadGateway
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -23,7 +23,9 @@
 // request holds the state of one caller's request while it passes the stages.
 type request struct {
 	g        *Gateway
-	w        http.ResponseWriter
+	w        http.ResponseWriter // nil until the turn of a request that is run early
+	pipeline *pipeline           // of the caller's connection; nil if there is none
+	early    *earlyRun           // nil if the request is not run early
 	r        *http.Request
 	caller   platform.CallerHeaders
 	arrived  time.Time
@@ -56,9 +58,19 @@
 
 // ServeHTTP serves one request of a caller. It implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p := pipelineOf(r.Context())
+	if run := p.take(r); run != nil {
+		run.deliver(w)
+		return
+	}
+	g.serve(&request{g: g, w: w, r: r, pipeline: p})
+}
+
+// serve passes a request through the stages.
+func (g *Gateway) serve(q *request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	q := &request{g: g, w: w, r: r, caller: platform.ReadCallerHeaders(r.Header), arrived: time.Now()}
+	q.caller, q.arrived = platform.ReadCallerHeaders(q.r.Header), time.Now()
 	defer q.recoverPanic()
 	g.lastArrival.Store(q.arrived.UnixNano())
 	stages := []func() *refusal{q.findRoute, q.identify, q.readBody, q.admit, q.forward}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -126,3 +127,20 @@
 	})
 	return state
 }
+
+// AwaitHangup waits, without consuming data, until the peer has closed its direction of the
+// connection or the connection has failed, and returns io.EOF then. It fails if the read
+// deadline passes before.
+func AwaitHangup(raw syscall.RawConn) error {
+	hungUp := false
+	err := raw.Read(func(fd uintptr) bool {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		hungUp = err == nil && n > 0
+		return hungUp
+	})
+	if hungUp {
+		return io.EOF
+	}
+	return err
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -1,7 +1,10 @@
 package sockets
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -106,3 +109,33 @@
 		t.Fatal("the queue is not empty after its connection was accepted")
 	}
 }
+
+// Guards against an end of the connection that is not noticed behind unread data, and against
+// a wait that a read deadline does not end.
+func TestAwaitHangupSeesTheEndBehindUnreadData(t *testing.T) {
+	dialed, accepted := pair(t)
+	raw, err := accepted.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dialed.Write([]byte("unread")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, accepted, UnrequestedData)
+	if err := accepted.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if err := AwaitHangup(raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("an open connection: %v", err)
+	}
+	if err := accepted.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { _ = dialed.Close() })
+	if err := AwaitHangup(raw); err != io.EOF {
+		t.Fatalf("a connection that the peer has closed: %v", err)
+	}
+	if Peek(accepted) != UnrequestedData {
+		t.Error("the data was consumed")
+	}
+}
