gateway, entry: a reset and a status that is none are failures

Cause: a server that sends a part of an answer without a length and resets the connection during an upload: the write gets the error and the read a regular end, so the gateway delivered the part as a whole answer. A status below 100 was skipped as an interim answer until the deadline. Callers of HTTP/1.0 could not see that an answer without a length was cut after a part was delivered, on both data planes. Change: the state of the connection is checked after the end of an answer without a length; a status below 100 fails the attempt; the connection of an HTTP/1.0 caller is reset. The entry already refuses answers with neither length nor digest, and such statuses; its tests are kept.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -138,6 +138,9 @@
 	ReadSocket(p []byte) (int, error)
 	// SyscallConn returns access to the socket. It fails if there is none.
 	SyscallConn() (syscall.RawConn, error)
+	// ResetOnClose makes the close of the connection an error for the caller. Data that the
+	// caller has not received is lost.
+	ResetOnClose()
 }
 
 // ConnHook is between the HTTP server and the connection of a caller.
@@ -166,6 +169,13 @@
 	return nil, errors.ErrUnsupported
 }
 
+// ResetOnClose implements CallerConn.
+func (c *callerConn) ResetOnClose() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	if c.hook != nil {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,3 +39,21 @@
 	}()
 	return server
 }
+
+type callerConnKey struct{}
+
+// withCallerConn is the ConnContext callback of the HTTP server.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// abort closes the caller's connection, so that the caller detects an incomplete response. It
+// does not return. Without chunks and a length, a regular end would complete the response.
+func abort(x *Exchange) {
+	if !x.Request.ProtoAtLeast(1, 1) && x.Writer.Header().Get("Content-Length") == "" {
+		if conn, ok := x.Request.Context().Value(callerConnKey{}).(daemon.CallerConn); ok {
+			conn.ResetOnClose()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -34,7 +34,7 @@
 		d.report(last)
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller detects the incomplete response
+		abort(x)
 	}
 	_ = control.Flush()
 	copyTrailer(header, last.response.Trailer)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,6 +111,7 @@
 func newServer(e *Entry) *http.Server {
 	return &http.Server{
 		Handler:           e,
+		ConnContext:       withCallerConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -97,8 +97,11 @@
 // caller's connection, so that the caller does not take the answer for complete.
 func (q *request) stream(x *exchange) error {
 	defer func() { _ = x.conn.Close() }()
-	if _, err := io.Copy(q.w, x.rest.Body); err != nil {
+	if err := x.readRest(q.w); err != nil {
 		q.log(x.status, "answer was cut short after a part was delivered", err)
+		if !q.r.ProtoAtLeast(1, 1) && x.rest.ContentLength < 0 {
+			q.pipeline.resetOnClose() // without chunks, the end of the connection is the end of the answer
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -41,6 +41,8 @@
 	errOtherRequest      = errors.New("the server sent answers to other requests only")
 	errUnsigned          = errors.New("the server sent a success status without its signature")
 	errTwoHeads          = errors.New("the head of the answer contains the status line of another one")
+	errInvalidStatus     = errors.New("the server sent a status that is none")
+	errReset             = errors.New("the server reset the connection during an answer without a length")
 	errSwitchedProtocols = errors.New("the server switched protocols without being asked")
 )
 
@@ -205,6 +207,9 @@
 		if holdsStatusLine(response) {
 			return errTwoHeads
 		}
+		if response.StatusCode < http.StatusContinue { // also one with a sign
+			return errInvalidStatus
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errSwitchedProtocols
 		}
@@ -290,6 +295,9 @@
 		x.rest = response
 		return nil
 	}
+	if err := x.checkEnd(response); err != nil {
+		return err
+	}
 	// ContentLength is -1 for chunked answers and for those that end with the connection.
 	if response.ContentLength >= 0 {
 		x.header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
@@ -297,6 +305,23 @@
 	return nil
 }
 
+// readRest reads the rest of a long answer.
+func (x *exchange) readRest(w io.Writer) error {
+	if _, err := io.Copy(w, x.rest.Body); err != nil {
+		return err
+	}
+	return x.checkEnd(x.rest)
+}
+
+// checkEnd fails if the body of an answer ended with a reset of its connection. A read does not
+// tell if the answer has no length and the write of the request got the error.
+func (x *exchange) checkEnd(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && sockets.WasReset(x.conn.Conn) {
+		return errReset
+	}
+	return nil
+}
+
 // classify sets the outcome of the attempt.
 func (x *exchange) classify(ctx context.Context) {
 	if x.err != nil {
--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -316,6 +316,13 @@
 	return true
 }
 
+// resetOnClose makes the caller notice the close of its connection as an error.
+func (p *pipeline) resetOnClose() {
+	if p != nil {
+		p.conn.ResetOnClose()
+	}
+}
+
 // End implements daemon.ConnHook. It cancels the requests that run early.
 func (p *pipeline) End() {
 	p.mu.Lock()
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -144,3 +144,26 @@
 	}
 	return err
 }
+
+// tcpClosed is the state of a TCP connection without either direction (TCP_CLOSE of Linux).
+const tcpClosed = 7
+
+// WasReset reports whether a TCP connection has failed, by a reset of the peer or a timeout,
+// whose data was read to its end. A read may return io.EOF then, if a write got the error. It
+// reports false if conn is no socket.
+func WasReset(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	failed := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		failed = err != nil || info.State == tcpClosed
+	})
+	return failed
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -139,3 +139,24 @@
 		t.Error("the data was consumed")
 	}
 }
+
+// Guards against a reset that is taken for a regular end, since a write got its error, and the
+// reverse.
+func TestWasResetTellsAResetFromAnEnd(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		dialed, accepted := pair(t)
+		if reset {
+			if err := accepted.(*net.TCPConn).SetLinger(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if WasReset(dialed) {
+			t.Error("an open connection counts as reset")
+		}
+		_ = accepted.Close()
+		awaitState(t, dialed, Closed)
+		if got := WasReset(dialed); got != reset {
+			t.Errorf("reset %v, after a close with a reset: %v", got, reset)
+		}
+	}
+}
