--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -18,7 +18,7 @@
 
 const (
 	maxHeldBytes  = 32 << 10 // read ahead on one connection; two heads of the largest size that is read ahead
-	firstHeld     = 2 << 10  // bytes of the first buffer; about 8 heads of bench callers
+	firstHeld     = 2 << 10  // bytes of the first buffer of a connection; it doubles as needed
 	maxAheadCount = 16       // requests that are read or run ahead on one connection
 )
 
