Merge pipelined requests, and partial and malformed answers

Change: idempotent requests that a caller sends ahead run at once; answers cut by a reset, and those with an invalid status, are no answers.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -63,6 +63,10 @@
 	case statusMeansNotRun(x.status):
 		return &refusal{http.StatusBadGateway, 0, "server answered " + strconv.Itoa(x.status) + " and may have run the request"}
 	}
+	if !q.awaitTurn(http.StatusBadGateway, "caller left") {
+		q.closeRest(x)
+		return nil
+	}
 	header := q.w.Header()
 	for name, values := range endToEnd(x.header) {
 		header[name] = values
@@ -93,8 +97,11 @@
 // caller's connection, so that the caller does not take the answer for complete.
 func (q *request) stream(x *exchange) error {
 	defer func() { _ = x.conn.Close() }()
-	if _, err := io.Copy(q.w, x.rest.Body); err != nil {
+	if err := x.readRest(q.w); err != nil {
 		q.log(x.status, "answer was cut short after a part was delivered", err)
+		if !q.r.ProtoAtLeast(1, 1) && x.rest.ContentLength < 0 {
+			q.pipeline.resetOnClose() // without chunks, the end of the connection is the end of the answer
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return nil
@@ -111,12 +118,15 @@
 }
 
 func (q *request) closeIfStopping() {
-	if q.g.isStopping() {
+	if q.g.isStopping() && q.pipeline.stopRunningAhead() {
 		q.w.Header().Set("Connection", "close")
 	}
 }
 
 func (q *request) refuse(f *refusal) {
+	if !q.awaitTurn(f.status, f.reason) {
+		return
+	}
 	header := q.w.Header()
 	platform.SetRequestID(header, q.caller.RequestID)
 	if f.retryAfter > 0 {
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -41,6 +41,8 @@
 	errOtherRequest      = errors.New("the server sent answers to other requests only")
 	errUnsigned          = errors.New("the server sent a success status without its signature")
 	errTwoHeads          = errors.New("the head of the answer contains the status line of another one")
+	errInvalidStatus     = errors.New("the server sent a status that is none")
+	errReset             = errors.New("the server reset the connection during an answer without a length")
 	errSwitchedProtocols = errors.New("the server switched protocols without being asked")
 )
 
@@ -119,6 +121,7 @@
 	header                http.Header
 	body                  []byte
 	checkZone             func() error // called right before the request is sent, which an error prevents; may be nil
+	early                 *earlyRun    // nil if the request is not run early
 }
 
 // exchange is one attempt of a request at one server.
@@ -212,6 +215,9 @@
 		if holdsStatusLine(response) {
 			return errTwoHeads
 		}
+		if response.StatusCode < http.StatusContinue { // also one with a sign
+			return errInvalidStatus
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errSwitchedProtocols
 		}
@@ -226,7 +232,7 @@
 			x.unusable = true // answers may no longer match requests on this connection
 			continue
 		}
-		return x.read(response)
+		return x.read(response, request.early.reserveBody)
 	}
 	return errOtherRequest
 }
@@ -274,23 +280,32 @@
 	return nil
 }
 
-// read reads an answer: completely, or the first maxBufferedBody bytes of a longer one.
-func (x *exchange) read(response *http.Response) error {
+// read reads an answer: completely, or the first bytes of one that is longer than reserve
+// allows. reserve is called with a length in bytes and returns how many may be read.
+func (x *exchange) read(response *http.Response, reserve func(length int) int) error {
 	x.status, x.header = response.StatusCode, response.Header
 	x.unusable = x.unusable || response.Close
 	headers := platform.ReadResponseHeaders(x.status, x.header)
 	if x.status < http.StatusMultipleChoices && !headers.Signed {
 		return errUnsigned
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	length := maxBufferedBody
+	if response.ContentLength >= 0 {
+		length = int(min(response.ContentLength, maxBufferedBody))
+	}
+	limit := reserve(length)
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		return err
 	}
 	x.body = body
-	if len(body) > maxBufferedBody {
+	if len(body) > limit {
 		x.rest = response
 		return nil
 	}
+	if err := x.checkEnd(response); err != nil {
+		return err
+	}
 	// ContentLength is -1 for chunked answers and for those that end with the connection.
 	if response.ContentLength >= 0 {
 		x.header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
@@ -298,6 +313,23 @@
 	return nil
 }
 
+// readRest reads the rest of a long answer.
+func (x *exchange) readRest(w io.Writer) error {
+	if _, err := io.Copy(w, x.rest.Body); err != nil {
+		return err
+	}
+	return x.checkEnd(x.rest)
+}
+
+// checkEnd fails if the body of an answer ended with a reset of its connection. A read does not
+// tell if the answer has no length and the write of the request got the error.
+func (x *exchange) checkEnd(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && sockets.WasReset(x.conn.Conn) {
+		return errReset
+	}
+	return nil
+}
+
 // classify sets the outcome of the attempt.
 func (x *exchange) classify(ctx context.Context) {
 	if x.err != nil {
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -126,3 +127,43 @@
 	})
 	return state
 }
+
+// AwaitHangup waits, without consuming data, until the peer has closed its direction of the
+// connection or the connection has failed, and returns io.EOF then. It fails if the read
+// deadline passes before.
+func AwaitHangup(raw syscall.RawConn) error {
+	hungUp := false
+	err := raw.Read(func(fd uintptr) bool {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		hungUp = err == nil && n > 0
+		return hungUp
+	})
+	if hungUp {
+		return io.EOF
+	}
+	return err
+}
+
+// tcpClosed is the state of a TCP connection without either direction (TCP_CLOSE of Linux).
+const tcpClosed = 7
+
+// WasReset reports whether a TCP connection has failed, by a reset of the peer or a timeout,
+// whose data was read to its end. A read may return io.EOF then, if a write got the error. It
+// reports false if conn is no socket.
+func WasReset(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	failed := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		failed = err != nil || info.State == tcpClosed
+	})
+	return failed
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -1,7 +1,10 @@
 package sockets
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -106,3 +109,54 @@
 		t.Fatal("the queue is not empty after its connection was accepted")
 	}
 }
+
+// Guards against an end of the connection that is not noticed behind unread data, and against
+// a wait that a read deadline does not end.
+func TestAwaitHangupSeesTheEndBehindUnreadData(t *testing.T) {
+	dialed, accepted := pair(t)
+	raw, err := accepted.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dialed.Write([]byte("unread")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, accepted, UnrequestedData)
+	if err := accepted.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if err := AwaitHangup(raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("an open connection: %v", err)
+	}
+	if err := accepted.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { _ = dialed.Close() })
+	if err := AwaitHangup(raw); err != io.EOF {
+		t.Fatalf("a connection that the peer has closed: %v", err)
+	}
+	if Peek(accepted) != UnrequestedData {
+		t.Error("the data was consumed")
+	}
+}
+
+// Guards against a reset that is taken for a regular end, since a write got its error, and the
+// reverse.
+func TestWasResetTellsAResetFromAnEnd(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		dialed, accepted := pair(t)
+		if reset {
+			if err := accepted.(*net.TCPConn).SetLinger(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if WasReset(dialed) {
+			t.Error("an open connection counts as reset")
+		}
+		_ = accepted.Close()
+		awaitState(t, dialed, Closed)
+		if got := WasReset(dialed); got != reset {
+			t.Errorf("reset %v, after a close with a reset: %v", got, reset)
+		}
+	}
+}
