placement, gateway: shorter tests of ranks

Cause: the tests of ranks repeated their checks. Change: common checks for shares and late refusals; one test decodes both requests of earlier versions.

--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -28,51 +28,38 @@
 	}
 }
 
-// A placement request of a VM with an earlier version has fewer fields and one rank. It was
-// rejected for the number of its fields, and a missing rank must not become the highest.
-func TestPlacementRequestOfEarlierVersionHasItsRank(t *testing.T) {
-	type earlierRequest struct {
+// Requests of a VM with an earlier version have fewer fields and at most one rank. They were
+// rejected for the number of their fields, and a missing rank must not become the highest.
+func TestRequestsOfEarlierVersionsAreDecoded(t *testing.T) {
+	decodeAs := func(k kind, sent, received any) {
+		datagram, err := encode("vm-2", k, sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, body, err := decode(datagram)
+		if err == nil {
+			err = body.Decode(received)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var slot placementRequest
+	decodeAs(kindPlacementRequest, &struct {
 		Service  string
 		Seq      uint64
 		Safe     bool
 		Priority int
+	}{Service: "svc", Seq: 7, Priority: 2}, &slot)
+	if slot.Seq != 7 || routeRankOf(&slot) != 2 {
+		t.Errorf("decoded as %+v", slot)
 	}
-	datagram, err := encode("vm-2", kindPlacementRequest, &earlierRequest{Service: "svc", Seq: 7, Priority: 2})
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, body, err := decode(datagram)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var m placementRequest
-	if err := body.Decode(&m); err != nil {
-		t.Fatal(err)
-	}
-	if got := routeRankOf(&m); got != 2 {
-		t.Errorf("route rank %d, want 2", got)
-	}
-}
-
-// A token request of a VM with an earlier version has no rank, and its account is served as before.
-func TestTokenRequestOfEarlierVersionHasNoRank(t *testing.T) {
-	type earlierTake struct {
+	var token take
+	decodeAs(kindTake, &struct {
 		Account string
 		Seq     uint64
-	}
-	datagram, err := encode("vm-2", kindTake, &earlierTake{Account: "acc", Seq: 7})
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, body, err := decode(datagram)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var m take
-	if err := body.Decode(&m); err != nil {
-		t.Fatal(err)
-	}
-	if m.Account != "acc" || m.Rank != nil {
-		t.Errorf("decoded as %+v", m)
+	}{Account: "acc", Seq: 7}, &token)
+	if token.Account != "acc" || token.Rank != nil {
+		t.Errorf("decoded as %+v", token)
 	}
 }
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -30,15 +30,13 @@
 type kindResult struct {
 	calls, answered, onTime int
 	refused, refusedLate    int // late: after an eighth of the target latency
-	retryAfter              []time.Duration
-	lateReasons             map[string]int
 }
 
 // share returns the number as a share of the calls.
 func (r *kindResult) share(n int) float64 { return float64(n) / float64(max(1, r.calls)) }
 
 func (r *kindResult) String() string {
-	return fmt.Sprintf("%d calls, %.3f answered, %.3f on time, %.3f refused, %.3f refused late %v", r.calls, r.share(r.answered), r.share(r.onTime), r.share(r.refused), r.share(r.refusedLate), r.lateReasons)
+	return fmt.Sprintf("%d calls, %.3f answered, %.3f on time, %.3f refused, %.3f refused late", r.calls, r.share(r.answered), r.share(r.onTime), r.share(r.refused), r.share(r.refusedLate))
 }
 
 // rankedLoad sends several kinds of calls to the servers of a simulation.
@@ -53,7 +51,6 @@
 
 func newRankedLoad(servers, slots int, kinds ...rankedKind) *rankedLoad {
 	l := &rankedLoad{simulation: newSimulation(servers, slots), kinds: kinds, due: make([]float64, len(kinds)), kindOf: map[uint64]int{}, results: make([]kindResult, len(kinds))}
-	l.restart()
 	random := rand.New(rand.NewPCG(2, 3))
 	l.workOf = func(call simCall) time.Duration {
 		if len(call.servers) > 0 {
@@ -76,15 +73,13 @@
 			result.onTime++
 		}
 	}
-	l.onRefused = func(call simCall, d Decision) {
+	l.onRefused = func(call simCall, _ Decision) {
 		index := l.kindOf[call.request.ID.Seq]
 		result := &l.results[index]
 		result.refused++
 		if l.now.Sub(call.arrived) > l.kinds[index].target/8 {
 			result.refusedLate++
-			result.lateReasons[d.Reason]++
 		}
-		result.retryAfter = append(result.retryAfter, d.RetryAfter)
 	}
 	return l
 }
@@ -110,7 +105,7 @@
 // restart forgets the results so far.
 func (l *rankedLoad) restart() {
 	for i := range l.results {
-		l.results[i] = kindResult{lateReasons: map[string]int{}}
+		l.results[i] = kindResult{}
 	}
 }
 
@@ -122,6 +117,22 @@
 	}
 }
 
+// want fails the test if smaller shares of the kind are answered, and answered on time.
+func (l *rankedLoad) want(t *testing.T, kind int, answered, onTime float64) {
+	t.Helper()
+	if r := l.results[kind]; r.share(r.answered) < answered || r.share(r.onTime) < onTime {
+		t.Errorf("kind %s: %v, want %.3f and %.3f", l.kinds[kind].name, &r, answered, onTime)
+	}
+}
+
+// wantEarlyRefusals fails the test if one refusal of the kind in ten is late.
+func (l *rankedLoad) wantEarlyRefusals(t *testing.T, kind int) {
+	t.Helper()
+	if r := l.results[kind]; r.refusedLate > r.refused/10 {
+		t.Errorf("%d of %d refusals of kind %s are late, want fewer than one in ten", r.refusedLate, r.refused, l.kinds[kind].name)
+	}
+}
+
 // Load: bookings at 2.4 times 463 a second for 7 s and 50 billings a second, of the same five
 // accounts, while 64 of 116 servers with 4 slots are left, which serve about 780 a second.
 // Billings must not be refused because of the bookings of their account: 0.39 of them were
@@ -139,12 +150,8 @@
 		l.play(7*time.Second, 2.4, 1)
 		l.play(6*time.Second, 1, 1)
 		l.log(t)
-		if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.97 {
-			t.Errorf("accounts of rank %d: %.3f of the billings are answered on time, want 0.97", account, onTime)
-		}
-		if answered := l.results[0].share(l.results[0].answered); answered < 0.846-0.03 {
-			t.Errorf("accounts of rank %d: %.3f of the bookings are answered; 0.846 were, and billings take 0.03", account, answered)
-		}
+		l.want(t, 1, 0, 0.97)
+		l.want(t, 0, 0.846-0.03, 0)
 	}
 }
 
@@ -169,22 +176,11 @@
 		}
 		return decisions.String()
 	}
-	with, without := play(false), play(true)
-	if with != without {
-		t.Errorf("decisions at a service with one rank differ from those without the rule, from byte %d on", firstDifference(with, without))
+	if play(false) != play(true) {
+		t.Error("decisions at a service with one rank differ from those without the rule")
 	}
 }
 
-// firstDifference returns the position of the first byte that differs.
-func firstDifference(a, b string) int {
-	for i := range min(len(a), len(b)) {
-		if a[i] != b[i] {
-			return i
-		}
-	}
-	return min(len(a), len(b))
-}
-
 // Load: while 100 requests of one rank wait, a request of a second rank puts the rule in
 // force, and half a minute without it ends the rule. The queued requests must keep their
 // order, and the accounts' counts must be those of the queue.
@@ -238,12 +234,8 @@
 	l.restart()
 	l.play(200*time.Second, 1, 1)
 	l.log(t)
-	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.95 {
-		t.Errorf("%.3f of the billings are on time, want 0.95", onTime)
-	}
-	if answered := l.results[0].share(l.results[0].answered); answered < 0.35 {
-		t.Errorf("%.3f of the reports are answered; seven of eight slots serve 0.42", answered)
-	}
+	l.want(t, 1, 0, 0.95)
+	l.want(t, 0, 0.35, 0)
 }
 
 // Load: for 20 s, billings at 1.5 times what 29 servers with 4 slots serve (527 a second), and
@@ -263,9 +255,7 @@
 		if share := float64(booked) / float64(booked+billed); share < 0.08 || share > 0.13 {
 			t.Errorf("%d accounts: bookings got %.3f of the answers, want about a tenth", accounts, share)
 		}
-		if late := l.results[0].refusedLate; late > l.results[0].refused/10 {
-			t.Errorf("%d accounts: %d of %d refused bookings were refused late, want fewer than one in ten", accounts, late, l.results[0].refused)
-		}
+		l.wantEarlyRefusals(t, 0)
 	}
 }
 
@@ -280,14 +270,9 @@
 	l.play(5*time.Second, 2.4, 1)
 	l.play(3*time.Second, 1, 0.01)
 	l.log(t)
-	for i, result := range l.results {
-		if result.refusedLate > result.refused/10 {
-			t.Errorf("%d of %d refusals of a %s came late", result.refusedLate, result.refused, l.kinds[i].name)
-		}
-	}
-	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.97 {
-		t.Errorf("%.3f of the billings are on time, want 0.97", onTime)
-	}
+	l.wantEarlyRefusals(t, 0)
+	l.wantEarlyRefusals(t, 1)
+	l.want(t, 1, 0, 0.97)
 }
 
 // Load: bookings at 2.4 times 463 a second for 7 s and 50 billings a second at 116 servers
@@ -304,12 +289,8 @@
 	l.shedShare = 0
 	l.play(6*time.Second, 1, 1)
 	l.log(t)
-	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.96 {
-		t.Errorf("%.3f of the billings are on time, want 0.96", onTime)
-	}
-	if answered := l.results[0].share(l.results[0].answered); answered < 0.9 {
-		t.Errorf("%.3f of the bookings are answered, want 0.9", answered)
-	}
+	l.want(t, 1, 0, 0.96)
+	l.want(t, 0, 0.9, 0)
 }
 
 // Load: 463 billings and 50 bookings a second for 20 s at 116 servers with 4 slots that reject
@@ -326,9 +307,7 @@
 	l.play(15*time.Second, 1, 1)
 	l.log(t)
 	// Half of the bookings need no retry. A tenth of the budget, 9 retries a second, serves up to 0.09 more.
-	if answered := l.results[0].share(l.results[0].answered); answered < 0.56 {
-		t.Errorf("%.3f of the bookings are answered, want 0.56", answered)
-	}
+	l.want(t, 0, 0.56, 0)
 	budget := testPolicy.Retries
 	most, first := 0, 0
 	for i, at := range l.retries {
@@ -395,9 +374,7 @@
 	l.play(4500*time.Millisecond, 2.4, 1)
 	l.play(6*time.Second, 1, 1)
 	l.log(t)
-	if onTime := l.results[1].share(l.results[1].onTime); onTime < 0.95 {
-		t.Errorf("%.3f of the billings are on time, want 0.95", onTime)
-	}
+	l.want(t, 1, 0, 0.95)
 }
 
 // loseOwner replaces the Broker by a new one, which the queued requests ask again.
