soak/crowd: crowds of callers against the real programs, red on the code as it is

Nothing bounds what callers hold in memory and descriptors (docs/HARD-LOAD.md, part 5). They run in a step of their own.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,6 +17,7 @@
 go vet work
 step "staticcheck"
 packages=$(go list work | grep -v /tools)
+tested=$(grep -v /soak/crowd <<<"$packages")
 # shellcheck disable=SC2086
 go tool staticcheck $packages
 
@@ -33,7 +34,9 @@
 mkdir -p run
 status=0
 # shellcheck disable=SC2086
-go test -count=1 -timeout 240s -v "${skip[@]}" $packages >run/test.log 2>&1 || status=$?
+go test -count=1 -timeout 240s -v "${skip[@]}" $tested >run/test.log 2>&1 || status=$?
+step "crowds of callers, one test at a time"
+go test -count=1 -timeout 300s -p 1 -parallel 1 -v "${skip[@]}" ./soak/crowd >>run/test.log 2>&1 || status=$?
 # Prints the line of each package, after its whole output if it failed.
 awk '
   /^=== (RUN|PAUSE|CONT|NAME)/ {next}
