gateway: a budget for what callers hold, asked before the body is read

Cause: each body was read whole with a doubling buffer, before the account's rate was asked, and nothing bounded the sum of bodies, answers, heads, connections and requests. Change: daemon/memory decides over bytes, connections and requests; the holder with the most bytes for the least progress goes when they run out. Bodies are held in pieces; size, rate (by the owner's last reply, without a token) and memory are asked before a body is read.

--- a/cmd/lacewing-gateway/main.go
+++ b/cmd/lacewing-gateway/main.go
@@ -62,15 +62,11 @@
 	return g.Run(ctx)
 }
 
-// heapShare is the share of a process's memory limit that Go may use. The program itself
-// and data in sockets take the rest.
-const heapShare = 0.75
-
 // limitMemory makes Go collect garbage before the process exceeds its memory limit, in
 // MB, for which the platform would kill it. 0 sets no limit.
 func limitMemory(limit float64) {
 	if limit > 0 {
-		debug.SetMemoryLimit(int64(limit * heapShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(limit * daemon.HeapShare * (1 << 20)))
 	}
 }
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lacewingmount.dev/daemon/memory"
 	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform"
 )
@@ -80,20 +81,55 @@
 	q.limitWrite()
 	q.w.WriteHeader(x.status)
 	q.progress = answerBegun
-	_, err := q.w.Write(x.body)
-	if err == nil && x.rest != nil {
-		err = q.stream(x)
-	}
+	err := q.deliver(x)
 	q.progress = answerComplete
 	q.log(x.status, "", err)
 	return nil
 }
 
+// deliver writes the answer to the caller. While it does, the request may be ended for what it
+// holds, which makes the write fail.
+func (q *request) deliver(x *exchange) error {
+	if !q.hold.SetPhase(memory.Delivering) {
+		return errNoMemory
+	}
+	for unsent := x.body; len(unsent) > 0; {
+		n, err := progressWriter{q}.Write(unsent[:min(len(unsent), deliveryBlock)])
+		if err != nil {
+			return err
+		}
+		unsent = unsent[n:]
+	}
+	if x.rest != nil {
+		x.body = nil
+		q.hold.Release(x.charged)
+		if err := q.stream(x); err != nil {
+			return err
+		}
+	}
+	if !q.hold.SetPhase(memory.Kept) {
+		q.limitWrite() // all was written before the write was to fail
+	}
+	return nil
+}
+
+// deliveryBlock is how much of an answer is written at a time, in bytes.
+const deliveryBlock = 64 << 10
+
+// progressWriter writes to the caller and records the progress.
+type progressWriter struct{ q *request }
+
+func (w progressWriter) Write(p []byte) (int, error) {
+	n, err := w.q.w.Write(p)
+	w.q.hold.Moved(n)
+	return n, err
+}
+
 // stream delivers the rest of a long answer. If the answer is cut short, it aborts the
 // caller's connection, so that the caller does not take the answer for complete.
 func (q *request) stream(x *exchange) error {
 	defer func() { _ = x.conn.Close() }()
-	if _, err := io.Copy(q.w, x.rest.Body); err != nil {
+	if _, err := io.Copy(progressWriter{q}, x.rest.Body); err != nil {
 		q.log(x.status, "answer was cut short after a part was delivered", err)
 		panic(http.ErrAbortHandler)
 	}
@@ -126,6 +162,9 @@
 	header.Set("Content-Length", "0")
 	q.closeIfStopping()
 	unread := !q.bodyRead && q.r.Body != http.NoBody
+	if unread && (q.bodyBegun || q.r.Header.Get("Expect") != "") {
+		header.Set("Connection", "close") // its rest may not come, or cannot be told from a request
+	}
 	connection := http.NewResponseController(q.w)
 	if unread {
 		_ = connection.EnableFullDuplex() // otherwise the answer waits for the end of the body
@@ -146,7 +185,11 @@
 	if err := connection.Flush(); err != nil {
 		return // the connection is broken
 	}
-	_ = connection.SetReadDeadline(time.Now().Add(bodyDiscardTime)) // fails only on a closed connection, which the read reports
+	limit := bodyDiscardTime
+	if q.hold.Ended() {
+		limit = endedDiscardTime
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(limit)) // fails only on a closed connection, which the read reports
 	if _, err := io.CopyN(io.Discard, q.r.Body, maxBodyBytes); err != io.EOF {
 		panic(http.ErrAbortHandler)
 	}
@@ -154,3 +197,7 @@
 
 // bodyDiscardTime limits the time in which the body of a refused request is read.
 const bodyDiscardTime = 2 * time.Second
+
+// endedDiscardTime is the same for a request that was ended because others need its memory or
+// its connection.
+const endedDiscardTime = 250 * time.Millisecond
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -17,19 +17,21 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/sockets"
 )
 
 const (
-	backendDialTimeout = 150 * time.Millisecond // connecting takes 1 ms and two crossings between availability zones
-	idleMargin         = 700 * time.Millisecond // a connection is closed this long before the server closes it, so that a request can still arrive
-	defaultIdleTime    = 2 * time.Second        // for servers that send no Keep-Alive timeout
-	maxBufferedBody    = 1 << 20                // bytes; of a longer answer, this much is read before any of it is delivered
-	maxInlineBody      = 16 << 10               // bytes; a longer request body is written while the answer is awaited
-	maxSkippedAnswers  = 64                     // 1xx answers, and answers to other requests, that are skipped in one exchange
-	readBufferSize     = 4 << 10                // bytes; the size of most answers
+	backendDialTimeout  = 150 * time.Millisecond // connecting takes 1 ms and two crossings between availability zones
+	idleMargin          = 700 * time.Millisecond // a connection is closed this long before the server closes it, so that a request can still arrive
+	defaultIdleTime     = 2 * time.Second        // for servers that send no Keep-Alive timeout
+	maxBufferedBody     = 1 << 20                // bytes; of a longer answer, this much is read before any of it is delivered
+	maxInlineBody       = 16 << 10               // bytes; a longer request body is written while the answer is awaited
+	maxSkippedAnswers   = 64                     // 1xx answers, and answers to other requests, that are skipped in one exchange
+	readBufferSize      = 4 << 10                // bytes; the size of most answers
+	idleDescriptorShare = 8                      // part of the descriptors, as a divisor, for idle connections to servers
 )
 
 // backendLiveness detects within 2 s that the path to a server is cut, so that no
@@ -57,8 +59,10 @@
 // backendPool keeps idle connections to the servers, by server ID and address. It is
 // safe for concurrent use.
 type backendPool struct {
-	mu   sync.Mutex
-	idle map[string][]*backendConn
+	mu        sync.Mutex
+	idle      map[string][]*backendConn
+	idleCount int
+	maxIdle   int // connections in idle; 0 for no limit
 }
 
 func newBackendPool() *backendPool { return &backendPool{idle: map[string][]*backendConn{}} }
@@ -76,6 +80,7 @@
 			continue
 		}
 		p.idle[key] = slices.Delete(p.idle[key], i, i+1)
+		p.idleCount--
 		if open {
 			conn.reused = true
 			return conn
@@ -91,7 +96,12 @@
 func (p *backendPool) put(key string, conn *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.maxIdle > 0 && p.idleCount >= p.maxIdle {
+		_ = conn.Close()
+		return
+	}
 	p.idle[key] = append(p.idle[key], conn)
+	p.idleCount++
 }
 
 // sweep closes the connections whose idle time is over.
@@ -106,6 +116,7 @@
 				continue
 			}
 			_ = conn.Close()
+			p.idleCount--
 		}
 		if p.idle[key] = kept; len(kept) == 0 {
 			delete(p.idle, key)
@@ -117,7 +128,8 @@
 type outbound struct {
 	method, uri, host, id string
 	header                http.Header
-	body                  []byte
+	body                  body
+	hold                  *daemon.Hold // is charged with the answers; nil for none
 }
 
 // exchange is one attempt of a request at one server.
@@ -127,6 +139,7 @@
 	status   int
 	header   http.Header
 	body     []byte
+	charged  int            // bytes that are charged for body
 	rest     *http.Response // rest of an answer longer than body; nil if body is complete
 	conn     *backendConn
 	took     time.Duration
@@ -218,7 +231,7 @@
 			x.unusable = true // answers may no longer match requests on this connection
 			continue
 		}
-		return x.read(response)
+		return x.read(response, request.hold)
 	}
 	return errOtherRequest
 }
@@ -241,17 +254,20 @@
 // body is long.
 func (x *exchange) write(request *outbound) error {
 	var head bytes.Buffer
-	head.Grow(len(request.body) + 1024)
+	inline := request.body.length <= maxInlineBody
+	if inline {
+		head.Grow(request.body.length + 1024)
+	}
 	head.WriteString(request.method + " " + request.uri + " HTTP/1.1\r\nHost: " + request.host + "\r\n")
 	if err := request.header.Write(&head); err != nil {
 		return err
 	}
-	if len(request.body) > 0 || request.method != http.MethodGet && request.method != http.MethodHead {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(request.body)) + "\r\n")
+	if request.body.length > 0 || request.method != http.MethodGet && request.method != http.MethodHead {
+		head.WriteString("Content-Length: " + strconv.Itoa(request.body.length) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(request.body) <= maxInlineBody {
-		head.Write(request.body)
+	if inline {
+		_, _ = request.body.WriteTo(&head) // cannot fail
 		_, err := x.conn.Write(head.Bytes())
 		return err
 	}
@@ -259,27 +275,29 @@
 	go func() {
 		_, err := x.conn.Write(head.Bytes())
 		if err == nil {
-			_, err = x.conn.Write(request.body)
+			_, err = request.body.WriteTo(x.conn)
 		}
 		x.writeErr <- err
 	}()
 	return nil
 }
 
-// read reads an answer: completely, or the first maxBufferedBody bytes of a longer one.
-func (x *exchange) read(response *http.Response) error {
+// read reads an answer: completely, or the first maxBufferedBody bytes of a longer one, or
+// fewer if there is no memory for them.
+func (x *exchange) read(response *http.Response, hold *daemon.Hold) error {
 	x.status, x.header = response.StatusCode, response.Header
 	x.unusable = x.unusable || response.Close
 	headers := platform.ReadResponseHeaders(x.status, x.header)
 	if x.status < http.StatusMultipleChoices && !headers.Signed {
 		return errUnsigned
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	body, whole, charged, err := readAnswer(response, hold)
+	x.charged = charged
 	if err != nil {
 		return err
 	}
 	x.body = body
-	if len(body) > maxBufferedBody {
+	if !whole {
 		x.rest = response
 		return nil
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -26,6 +26,8 @@
 	servers []*platformtest.Server
 	version int // of the configuration
 	seq     int // of the last request
+
+	memoryMB float64 // of VMs that are started from then on; 0 for no limit
 }
 
 // configParameters are the parts of the configuration that tests vary.
@@ -81,7 +83,7 @@
 	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	settings := platform.Settings{
 		VM: name, Zone: "z1", IP: "127.0.0.1", CallerAddress: address(ports[0]), ReadyAddress: address(ports[1]),
-		FleetPort: ports[2], Store: f.address, Bounds: bounds,
+		FleetPort: ports[2], Store: f.address, Bounds: bounds, MemoryMB: f.memoryMB,
 	}
 	g, err := New(settings, zap.NewNop())
 	if err != nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -28,7 +28,7 @@
 		tried, only := plan.choices(q.g.isRegistered)
 		slotRequest := placement.Request{
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
+			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: q.outbound.body.length, Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
 		}
 		waiting, endWait := q.waitContext(ctx)
 		decision := q.g.place(waiting, q.service, slotRequest)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,8 @@
 	peers    *peers
 	follower *follower
 	backend  *backend
-	client   *http.Client // fetches catalog contents from other VMs
+	client   *http.Client   // fetches catalog contents from other VMs
+	budget   *daemon.Budget // of what is held for callers
 
 	table        atomic.Pointer[table]
 	loaded       chan struct{}                              // closed when the first configuration is in force
@@ -84,12 +85,14 @@
 	g := &Gateway{
 		settings: settings, self: self, log: log, mesh: m, peers: newPeers(self),
 		backend: &backend{pool: newBackendPool()},
+		budget:  daemon.NewBudget(daemon.CallerLimits(settings.MemoryMB, settings.MaxFDs), log),
 		client:  &http.Client{Transport: &http.Transport{DialContext: sockets.Dialer(fetchDialTimeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		owned:   newBrokers(policy, incarnation), localBrokers: newBrokers(policy, incarnation),
 		quotas: newQuotas(overage), localQuotas: newQuotas(overage), running: newInFlight(), confirmed: &confirmedLimits{confirmations: map[string]limitConfirmation{}},
 		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
 		callerStallTimeout: callerStallTimeout,
 	}
+	g.backend.pool.maxIdle = settings.MaxFDs / idleDescriptorShare
 	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
 	g.owned.onAvoidanceChange, g.owned.onLimitChange = g.logAvoidance, g.logLimit
 	g.owned.knownLimits = g.localBrokers.serviceLimits
@@ -119,7 +122,7 @@
 	if err := daemon.ServeHTTP(serving, g.self.Address, fleet); err != nil {
 		return err
 	}
-	callers := daemon.NewCallerServer(g.newServer(), listener, quietTime)
+	callers := daemon.NewCallerServer(g.newServer(), g.budget.Limit(listener), quietTime)
 	go func() {
 		if err := callers.Serve(); err != nil {
 			g.log.Error("listener for callers failed; restart the VM", zap.Error(err))
@@ -333,6 +336,7 @@
 		g.peers.expireSuspicions(now)
 		g.follower.tick(now)
 		g.backend.pool.sweep(now)
+		g.budget.UpdateMetrics()
 		serverLimits.Set(float64(g.owned.countLimits()))
 		if waiting {
 			sleep(ctx, tickPeriod)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/requestlog"
@@ -17,26 +18,29 @@
 	configurationWait  = 800 * time.Millisecond // longest wait of a request for the first configuration; a start takes up to this time on a sixth of a core
 	startRetryAfter    = 500 * time.Millisecond // for callers of a VM that has no configuration even then
 	stoppingRetryAfter = 100 * time.Millisecond // for callers of a VM that is stopping; other VMs can serve them at once
+	memoryRetryAfter   = time.Second            // for callers that find no memory; a body that stalls is ended within moments, an honest one arrives
 	shedRetryAfter     = 500 * time.Millisecond // after no server accepted the request
 )
 
 // request holds the state of one caller's request while it passes the stages.
 type request struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	caller   platform.CallerHeaders
-	arrived  time.Time
-	deadline time.Time // by which the caller gets a final answer
-	table    *table
-	route    *platform.Route
-	service  string
-	account  *platform.Account
-	outbound *outbound
-	attempts []attempt
-	refused  *placementResult // the decision not to place the request; nil if there was none
-	progress answerProgress
-	bodyRead bool // the body was read, or reading it failed
+	g         *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	caller    platform.CallerHeaders
+	arrived   time.Time
+	deadline  time.Time // by which the caller gets a final answer
+	table     *table
+	route     *platform.Route
+	service   string
+	account   *platform.Account
+	outbound  *outbound
+	attempts  []attempt
+	refused   *placementResult // the decision not to place the request; nil if there was none
+	progress  answerProgress
+	bodyBegun bool         // a part of the body was read
+	bodyRead  bool         // the body was read, or reading it failed
+	hold      *daemon.Hold // what the request holds in memory; nil before identify
 }
 
 // attempt is the result of sending a request to one server.
@@ -59,9 +63,11 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	q := &request{g: g, w: w, r: r, caller: platform.ReadCallerHeaders(r.Header), arrived: time.Now()}
+	defer func() { q.hold.Close() }()
 	defer q.recoverPanic()
 	g.lastArrival.Store(q.arrived.UnixNano())
-	stages := []func() *refusal{q.findRoute, q.identify, q.readBody, q.admit, q.forward}
+	defer g.budget.BeginRequest(r.RemoteAddr)()
+	stages := []func() *refusal{q.findRoute, q.identify, q.checkBody, q.readBody, q.admit, q.forward}
 	for _, stage := range stages {
 		if f := stage(); f != nil {
 			q.refuse(f)
--- a/soak/crowd/gateway_test.go
+++ b/soak/crowd/gateway_test.go
@@ -1,7 +1,9 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,6 +24,7 @@
 	maxFDs       = 2870    // of the smallest VMs
 	fewFDs       = 700     // in the test of connections
 	maxBody      = 8 << 20 // in the test's configuration
+	largestBody  = 64 << 20
 	largeAnswer  = 4 << 20
 	uploaders    = 45
 	overLimit    = 45
@@ -52,7 +55,7 @@
 	callers string
 }
 
-func startGateway(t *testing.T, descriptors int) *gatewayUnderTest {
+func startGateway(t *testing.T, descriptors, maxBody int) *gatewayUnderTest {
 	t.Helper()
 	store := platformtest.NewStore()
 	standin := httptest.NewServer(store.Handler())
@@ -132,7 +135,7 @@
 // playGateway plays the crowds against a new gateway and checks it.
 func playGateway(t *testing.T, descriptors int, crowds ...crowd) {
 	t.Helper()
-	g := startGateway(t, descriptors)
+	g := startGateway(t, descriptors, maxBody)
 	play(t, g.callers, crowds...)
 	g.answersOrdinary(t)
 	g.check(memoryMB, descriptors)
@@ -167,8 +170,46 @@
 		crowd{uploaders / 3, upload.chunked(maxBody, 64<<10)}, crowd{2 * uploaders, large.longHead(60 << 10)})
 }
 
+// TestGatewayLargestBody guards against limits that refuse what the configuration allows: one
+// body of 64 MB, whole and in chunks, while nothing else is held.
+func TestGatewayLargestBody(t *testing.T) {
+	g := startGateway(t, maxFDs, largestBody)
+	for _, body := range []struct {
+		send caller
+		last string
+	}{
+		{upload.declared(largestBody), "x"},
+		{upload.chunked(largestBody, 64<<10), "0\r\n\r\n"},
+	} {
+		conn, err := net.DialTimeout("tcp", g.callers, answerTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(answerTime))
+		if err := body.send(conn); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, body.last); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("%+v, %v", response, err)
+		}
+		_ = conn.Close()
+	}
+	g.answersOrdinary(t)
+	g.check(memoryMB, maxFDs)
+}
+
 // TestGatewayConnections guards against more connections than the process may have
 // descriptors.
 func TestGatewayConnections(t *testing.T) {
 	playGateway(t, fewFDs, crowd{idleCallers, idle})
 }
+
+// TestGatewayStalledRequests guards against unfinished small requests that use up connections
+// and requests in progress.
+func TestGatewayStalledRequests(t *testing.T) {
+	playGateway(t, fewFDs, crowd{idleCallers, upload.declared(300)})
+}
