entry: the same budget for protected bodies, streamed uploads and answers

Cause: protected bodies (256 KB) and answers were held whole without a bound on their sum. Change: a memory stage opens a request's account and refuses what is announced too large; bodies and answers are charged as they are read, connections and requests are bounded; new optional settings memory_mb (512) and max_fds. Connections whose refused body is drained may be closed for others, in the gateway too. A new holder begins as one that makes progress.

--- a/daemon/budget.go
+++ b/daemon/budget.go
@@ -401,6 +401,16 @@
 	return func() { b.finishRequest(socket) }
 }
 
+// Discard records that the request on the connection of the caller with the address is
+// refused and only the rest of its body is read. Others may get its connection from then on.
+func (b *Budget) Discard(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if socket := b.connections[address]; socket != nil && socket.requests == 1 {
+		b.decisions.SetIdle(time.Now(), socket.holder)
+	}
+}
+
 func (b *Budget) finishRequest(socket *callerSocket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/daemon/memory/budget.go
+++ b/daemon/memory/budget.go
@@ -184,8 +184,9 @@
 	return idlest
 }
 
+// add adds a Holder. It begins as one that makes progress, since it has had no time for any.
 func (b *Budget) add(now time.Time, h *Holder) *Holder {
-	h.movedAt, h.index = now, len(b.holders)
+	h.moved, h.movedAt, h.index = SmallHolder, now, len(b.holders)
 	b.holders = append(b.holders, h)
 	return h
 }
@@ -201,6 +202,13 @@
 	return true
 }
 
+// SetIdle records that a connection may be ended, although no request on it was served.
+func (b *Budget) SetIdle(now time.Time, h *Holder) {
+	if !h.ended {
+		h.phase, h.phaseSince = Idle, now
+	}
+}
+
 // Move records progress of the Holder.
 func (b *Budget) Move(now time.Time, h *Holder, bytes int64) {
 	h.moved = h.progress(now) + float64(bytes)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/health/probe"
 )
 
@@ -39,10 +40,12 @@
 	elapsed        time.Duration
 	requestWritten atomic.Bool // the request was sent completely
 	response       *http.Response
-	bodyReader     io.Reader // the rest of the body; verifies the digest
-	body           []byte    // the start of the body, or all of it if complete
-	complete       bool      // body is the complete body
-	bodyRead       bool      // the body was read to its end
+	bodyReader     io.Reader    // the rest of the body; verifies the digest
+	body           []byte       // the start of the body, or all of it if complete
+	complete       bool         // body is the complete body
+	hold           *daemon.Hold // of the request; charged for body
+	charged        int          // bytes that hold is charged with for body
+	bodyRead       bool         // the body was read to its end
 	err            error
 	connected      bool
 	sent           bool // a byte may have reached the server; false if the server shed the request
@@ -52,11 +55,11 @@
 }
 
 // newAttempt returns an attempt that counts in Server.InFlight until it is closed.
-func newAttempt(parent context.Context, server *Server, reuse bool) *attempt {
+func newAttempt(parent context.Context, server *Server, reuse bool, hold *daemon.Hold) *attempt {
 	server.InFlight.Add(1)
 	lease := newConnLease(&server.conns, reuse)
 	ctx, cancel := context.WithCancelCause(lease.newContext(parent))
-	return &attempt{server: server, lease: lease, ctx: ctx, cancel: cancel, started: time.Now()}
+	return &attempt{server: server, lease: lease, ctx: ctx, cancel: cancel, started: time.Now(), hold: hold}
 }
 
 // run sends the request and reads the response, up to maxBufferedResponse of its body.
@@ -100,7 +103,8 @@
 	return refused && response.Header.Get(notRunHeader) != ""
 }
 
-// readResponse reads the complete body if it has at most maxBufferedResponse bytes.
+// readResponse reads the complete body if it has at most maxBufferedResponse bytes and there
+// is memory for it.
 // Otherwise it reads the start of the body, or nothing if the length is announced.
 func (a *attempt) readResponse() error {
 	bodyReader, err := a.verifiedBody()
@@ -111,11 +115,14 @@
 	if a.response.ContentLength > maxBufferedResponse && a.response.Request.Method != http.MethodHead {
 		return nil
 	}
-	a.body, err = io.ReadAll(io.LimitReader(bodyReader, maxBufferedResponse+1))
+	length := a.response.ContentLength
+	if a.response.Body == http.NoBody || a.response.Request.Method == http.MethodHead {
+		length = 0
+	}
+	a.body, a.complete, a.charged, err = a.hold.ReadPart(bodyReader, length, maxBufferedResponse)
 	if err != nil {
 		return err
 	}
-	a.complete = len(a.body) <= maxBufferedResponse
 	a.bodyRead = a.complete
 	return nil
 }
@@ -151,6 +158,8 @@
 		_ = a.response.Body.Close()
 	}
 	a.server.InFlight.Add(-1)
+	a.hold.Release(a.charged)
+	a.charged = 0
 }
 
 // observation returns the result of the attempt for the Picker.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -30,7 +30,7 @@
 
 // serve accepts callers in the background.
 func (e *Entry) serve(listener net.Listener) *daemon.CallerServer {
-	server := daemon.NewCallerServer(newServer(e), listener, minIdleBeforeClose)
+	server := daemon.NewCallerServer(newServer(e), e.budget.Limit(listener), minIdleBeforeClose)
 	go func() {
 		if err := server.Serve(); err != nil {
 			e.log.Error("listener for callers failed; restart the entry", zap.Error(err))
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/daemon/memory"
 	"lacewingmount.dev/errs"
 	"lacewingmount.dev/once"
 	"lacewingmount.dev/wire"
@@ -148,10 +149,18 @@
 		return []byte{}, nil
 	}
 	defer body.stop()
-	content, err := io.ReadAll(body)
+	limit := maxProtectedBodyBytes
+	if announced := x.Request.ContentLength; announced >= 0 {
+		limit = int(min(announced, maxProtectedBodyBytes))
+	}
+	x.hold.SetPhase(memory.Arriving)
+	content, err := x.hold.ReadWhole(x.Request.Context(), body, limit)
+	if !x.hold.SetPhase(memory.Kept) || errors.As(err, new(daemon.Refused)) {
+		return nil, refuseNoMemory()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, refuseNotRun(http.StatusRequestEntityTooLarge, ReasonMalformed, "the body is larger than 256 KiB")
+		return nil, refuseTooLarge()
 	}
 	if err != nil {
 		return nil, callerBodyRefusal(err, false)
--- a/entry/deliver.go
+++ b/entry/deliver.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/daemon/memory"
 	"lacewingmount.dev/keys"
 )
 
@@ -17,7 +19,7 @@
 func (s *forwardStage) deliver(x *Exchange, d *dispatch, last *attempt) {
 	s.settleResponse(x, last)
 	control := http.NewResponseController(x.Writer)
-	out := &timeoutWriter{writer: x.Writer, control: control, stallTimeout: s.stallTimeouts.callerStallTimeout}
+	out := &timeoutWriter{writer: x.Writer, control: control, stallTimeout: s.stallTimeouts.callerStallTimeout, hold: x.hold}
 	defer out.clear()
 	header := x.Writer.Header()
 	copyHeader(header, last.response.Header)
@@ -28,8 +30,10 @@
 	if last.complete && x.Request.Method != http.MethodHead && len(last.response.Trailer) == 0 {
 		header.Set("Content-Length", strconv.Itoa(len(last.body)))
 	}
+	x.hold.SetPhase(memory.Delivering)
 	x.Writer.WriteHeader(last.response.StatusCode)
 	err := s.copyResponse(out, last)
+	x.hold.SetPhase(memory.Kept)
 	if !last.complete {
 		d.report(last)
 	}
@@ -76,6 +80,7 @@
 	writer       io.Writer
 	control      *http.ResponseController
 	stallTimeout time.Duration
+	hold         *daemon.Hold
 }
 
 // Write implements io.Writer.
@@ -84,7 +89,12 @@
 		return 0, nil
 	}
 	_ = w.control.SetWriteDeadline(time.Now().Add(w.stallTimeout))
-	return w.writer.Write(p)
+	if w.hold.Ended() { // checked after the deadline, which replaces the one that ends the response
+		return 0, errNoMemory
+	}
+	n, err := w.writer.Write(p)
+	w.hold.Moved(n)
+	return n, err
 }
 
 func (w *timeoutWriter) clear() { _ = w.control.SetWriteDeadline(time.Time{}) }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -93,7 +93,7 @@
 // launch starts an attempt in a new goroutine. Pooled connections are used if reuse is
 // true.
 func (d *dispatch) launch(server *Server, reuse bool) {
-	a := newAttempt(d.requestContext, server, reuse)
+	a := newAttempt(d.requestContext, server, reuse, d.x.hold)
 	a.lease.beforeSend = d.x.permit.spend
 	request := outbound(d.x, a, d.body)
 	d.attempts++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,8 +23,10 @@
 	Listen     string          `yaml:"listen" validate:"hostname_port"` // address for callers
 	Admin      string          `yaml:"admin" validate:"hostname_port"`
 	Agent      string          `yaml:"agent" validate:"hostname_port"`
-	Profile    bool            `yaml:"profile"`     // serves runtime profiles on the admin address
-	DrainDelay daemon.Duration `yaml:"drain_delay"` // from reporting not ready until new connections are no longer accepted
+	Profile    bool            `yaml:"profile"`                    // serves runtime profiles on the admin address
+	MemoryMB   float64         `yaml:"memory_mb" validate:"gte=0"` // of the process; 0 for no limit
+	MaxFDs     int             `yaml:"max_fds" validate:"gte=0"`   // descriptors of the process; 0 for no limit
+	DrainDelay daemon.Duration `yaml:"drain_delay"`                // from reporting not ready until new connections are no longer accepted
 }
 
 // Entry is the reverse proxy of one VM. It is an http.Handler.
@@ -37,6 +39,7 @@
 	currentSnapshot atomic.Pointer[wire.Snapshot] // the snapshot in use
 	table           atomic.Pointer[Table]         // compiled from currentSnapshot
 	servers         *serverPicker
+	budget          *daemon.Budget // of what is held for callers
 	stages          []Stage
 	settler         *settler
 	served          *metrics.Counter
@@ -61,6 +64,7 @@
 		settings: settings, log: log, events: events, agent: agent, admin: daemon.NewAdmin(events), servers: servers, settler: settler,
 		served:    metrics.GetOrCreateCounter("lacewing_requests_total"),
 		duration:  metrics.GetOrCreateHistogram("lacewing_request_seconds"),
+		budget:    daemon.NewBudget(daemon.CallerLimits(settings.MemoryMB, settings.MaxFDs), log),
 		authority: &authority{}, inFlight: newInFlight(), reportRequested: make(chan struct{}, 1),
 	}
 	e.currentSnapshot.Store(&wire.Snapshot{})
@@ -68,6 +72,7 @@
 	e.stages = []Stage{
 		routeStage{},
 		e.newIdentifyStage(),
+		memoryStage{e.budget},
 		admitStage{admitter: NewTokenCache(agent)},
 		claimStage{claimer: claimer, settler: settler},
 		newQueueStage(settler),
@@ -95,6 +100,7 @@
 	server := e.serve(listener)
 	go e.followSnapshots(background)
 	go e.reportToAgent(background)
+	go e.updateMetrics(background)
 	go e.watchReadiness(background)
 	go e.servers.run(background)
 	e.events.Add(timeline.Event{Kind: timeline.KindStarted})
@@ -117,6 +123,15 @@
 	}
 }
 
+// metricsPeriod is the time between updates of the gauges of what is held for callers.
+const metricsPeriod = time.Second
+
+func (e *Entry) updateMetrics(ctx context.Context) {
+	for daemon.Sleep(ctx, metricsPeriod) {
+		e.budget.UpdateMetrics()
+	}
+}
+
 // ServeHTTP runs one request through the stages.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.served.Inc()
@@ -124,6 +139,8 @@
 	defer e.duration.UpdateDuration(x.Started)
 	e.inFlight.begin(x)
 	defer e.inFlight.end(x)
+	defer e.budget.BeginRequest(r.RemoteAddr)()
+	defer func() { x.hold.Close() }()
 	defer func() { x.permit.release(); x.slot.leave() }()
 	if x.Table == nil {
 		e.refuse(x, "start", refuseNotRun(http.StatusServiceUnavailable, ReasonNotReady, "the VM has no configuration yet").retryAfter(time.Second))
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lacewingmount.dev/daemon/memory"
 )
 
 // stallTimeouts limit the time without progress on a connection that is in use.
@@ -74,6 +76,9 @@
 		}
 	}
 	defer body.stop()
+	if refusal := s.holdUpload(x, body); refusal != nil {
+		return refusal
+	}
 	d := s.newDispatch(x, requestContext, body)
 	last := d.run()
 	if last == nil {
@@ -91,6 +96,19 @@
 	return nil
 }
 
+// holdUpload charges what a streamed body holds. While the body arrives, the request may be
+// ended for others; its server cannot have all of it then.
+func (s *forwardStage) holdUpload(x *Exchange, body *callerBody) *Refusal {
+	if body == nil {
+		return nil
+	}
+	x.hold.SetPhase(memory.Arriving)
+	if x.hold.Reserve(x.Request.Context(), uploadBytes) != nil {
+		return refuseNoMemory()
+	}
+	return nil
+}
+
 // attemptRefusal returns the refusal for a request whose last attempt failed.
 func attemptRefusal(last *attempt, body *callerBody, sent bool) *Refusal {
 	if err := body.readError(); err != nil {
@@ -122,6 +140,8 @@
 func callerBodyRefusal(err error, sent bool) *Refusal {
 	status, detail := http.StatusBadRequest, "the body broke off"
 	switch {
+	case errors.Is(err, errNoMemory) && !sent:
+		return refuseNoMemory()
 	case errors.Is(err, errCallerStalled):
 		status, detail = http.StatusRequestTimeout, errCallerStalled.Error()
 	case errors.Is(err, errDigestMismatch):
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -48,7 +48,7 @@
 			return
 		}
 		x := &Exchange{Request: request, Route: &config.Route{}, RequestID: "id"}
-		a := newAttempt(t.Context(), &Server{}, true)
+		a := newAttempt(t.Context(), &Server{}, true, nil)
 		defer a.close()
 		for name := range outbound(x, a, nil).Header {
 			if strings.EqualFold(name, keys.Header) || strings.EqualFold(name, keys.AccountHeader) {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -33,6 +33,7 @@
 
 // Reasons.
 const (
+	ReasonMemory       Reason = "memory"            // the VM has no memory for the request
 	ReasonMalformed    Reason = "malformed"         // the path, a header or the body is invalid
 	ReasonNoRoute      Reason = "no-route"          // no route matches the path
 	ReasonMethod       Reason = "method"            // not allowed on the route
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingmount.dev/config"
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/wire"
 )
 
@@ -34,6 +35,7 @@
 	permit    *permit            // nil on open routes
 	slot      *slot              // concurrency slot of the service, nil before the queue stage
 	stopping  *atomic.Bool       // the entry is shutting down
+	hold      *daemon.Hold       // what the request holds in memory; nil before the memory stage
 }
 
 // announceClose tells the caller with the response header that its connection ends, if the
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lacewingmount.dev/daemon"
+	"lacewingmount.dev/daemon/memory"
 )
 
 // Errors in receiving the request body from the caller.
@@ -23,6 +26,7 @@
 	control      *http.ResponseController
 	stallTimeout time.Duration // maximum time without progress
 	length       int64         // announced length in bytes, or -1 if unknown
+	hold         *daemon.Hold  // of the request
 
 	mu          sync.Mutex
 	stopped     bool
@@ -46,7 +50,7 @@
 	}
 	body := &callerBody{
 		raw: x.Request.Body, control: http.NewResponseController(x.Writer),
-		stallTimeout: stallTimeout, length: x.Request.ContentLength,
+		stallTimeout: stallTimeout, length: x.Request.ContentLength, hold: x.hold,
 	}
 	body.source = sums.verify(timeoutReader{body})
 	return body, nil
@@ -59,8 +63,18 @@
 	if !r.setDeadline(time.Now().Add(r.stallTimeout)) {
 		return 0, errBodyTruncated
 	}
+	if r.hold.Ended() { // checked after the deadline, which replaces the one that ends the body
+		return 0, errNoMemory
+	}
 	n, err := r.raw.Read(p)
 	r.countBytes(n)
+	r.hold.Moved(n)
+	if err == io.EOF || r.length >= 0 && r.fullyRead() {
+		r.hold.SetPhase(memory.Kept)
+	}
+	if err != nil && err != io.EOF && r.hold.Ended() {
+		err = errNoMemory
+	}
 	return n, err
 }
 
@@ -114,7 +128,7 @@
 	case err == io.EOF:
 		b.atEOF = true
 		return err
-	case errors.Is(err, errDigestMismatch):
+	case errors.Is(err, errDigestMismatch) || errors.Is(err, errNoMemory):
 		b.failure = err
 	case errors.As(err, &timeout) && timeout.Timeout():
 		b.failure = errors.Mark(err, errCallerStalled)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -189,6 +189,7 @@
 	if q.hold.Ended() {
 		limit = endedDiscardTime
 	}
+	q.g.budget.Discard(q.r.RemoteAddr)
 	_ = connection.SetReadDeadline(time.Now().Add(limit)) // fails only on a closed connection, which the read reports
 	if _, err := io.CopyN(io.Discard, q.r.Body, maxBodyBytes); err != io.EOF {
 		panic(http.ErrAbortHandler)
--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -291,7 +291,11 @@
 	if x.status < http.StatusMultipleChoices && !headers.Signed {
 		return errUnsigned
 	}
-	body, whole, charged, err := readAnswer(response, hold)
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0
+	}
+	body, whole, charged, err := hold.ReadPart(response.Body, length, maxBufferedBody)
 	x.charged = charged
 	if err != nil {
 		return err
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -21,8 +21,6 @@
 	// body holds at most twice what has arrived, and minPiece.
 	minPiece = 4 << 10
 	maxPiece = 256 << 10
-	// minAnswerRoom is read of each answer, even if there is no memory for more, in bytes.
-	minAnswerRoom = 4 << 10
 )
 
 var (
@@ -214,42 +212,3 @@
 		b.length += len(piece)
 	}
 }
-
-// readAnswer reads an answer: completely, or its first part. whole reports which. It reads up
-// to maxBufferedBody bytes and one more, or fewer if there is no memory for them. charged is
-// what the content has been charged with.
-func readAnswer(response *http.Response, hold *daemon.Hold) (content []byte, whole bool, charged int, err error) {
-	if response.Body == http.NoBody {
-		return nil, true, 0, nil
-	}
-	size := minAnswerRoom
-	if response.ContentLength >= 0 {
-		size = int(min(response.ContentLength, maxBufferedBody)) + 1 // one more byte shows the end
-	}
-	if hold.TryReserve(size) {
-		charged = size
-	} else {
-		size = min(size, minAnswerRoom)
-	}
-	content = make([]byte, 0, size)
-	for {
-		n, err := response.Body.Read(content[len(content):cap(content)])
-		content = content[:len(content)+n]
-		if err == io.EOF {
-			return content, true, charged, nil
-		}
-		if err != nil {
-			return nil, false, charged, err
-		}
-		if len(content) < cap(content) {
-			continue
-		}
-		next := min(2*cap(content), maxBufferedBody+1)
-		if next == cap(content) || charged == 0 || !hold.TryReserve(next) {
-			return content, false, charged, nil
-		}
-		grown := append(make([]byte, 0, next), content...)
-		hold.Release(charged)
-		content, charged = grown, next
-	}
-}
--- a/soak/crowd/gateway_test.go
+++ b/soak/crowd/gateway_test.go
@@ -213,3 +213,9 @@
 func TestGatewayStalledRequests(t *testing.T) {
 	playGateway(t, fewFDs, crowd{idleCallers, upload.declared(300)})
 }
+
+// TestGatewayRefusedBodies guards against unfinished bodies of requests without a valid key,
+// which are refused and whose rest is read for a moment.
+func TestGatewayRefusedBodies(t *testing.T) {
+	playGateway(t, fewFDs, crowd{idleCallers, gatewayRoute("POST", "/upload/a", "unknown").declared(256 << 10)})
+}
