--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,14 +25,14 @@
 )
 
 const (
-	backendDialTimeout  = 150 * time.Millisecond // connecting takes 1 ms and two crossings between availability zones
-	idleMargin          = 700 * time.Millisecond // a connection is closed this long before the server closes it, so that a request can still arrive
-	defaultIdleTime     = 2 * time.Second        // for servers that send no Keep-Alive timeout
-	maxBufferedBody     = 1 << 20                // bytes; of a longer answer, this much is read before any of it is delivered
-	maxInlineBody       = 16 << 10               // bytes; a longer request body is written while the answer is awaited
-	maxSkippedAnswers   = 64                     // 1xx answers, and answers to other requests, that are skipped in one exchange
-	readBufferSize      = 4 << 10                // bytes; the size of most answers
-	idleDescriptorShare = 8                      // part of the descriptors, as a divisor, for idle connections to servers
+	backendDialTimeout = 150 * time.Millisecond // connecting takes 1 ms and two crossings between availability zones
+	idleMargin         = 700 * time.Millisecond // a connection is closed this long before the server closes it, so that a request can still arrive
+	defaultIdleTime    = 2 * time.Second        // for servers that send no Keep-Alive timeout
+	maxBufferedBody    = 1 << 20                // bytes; of a longer answer, this much is read before any of it is delivered
+	maxInlineBody      = 16 << 10               // bytes; a longer request body is written while the answer is awaited
+	maxSkippedAnswers  = 64                     // 1xx answers, and answers to other requests, that are skipped in one exchange
+	readBufferSize     = 4 << 10                // bytes; the size of most answers
+	backendDescriptors = 0.375                  // share of the descriptors above which no connection to a server is kept idle
 )
 
 // backendLiveness detects within 2 s that the path to a server is cut, so that no
@@ -54,15 +55,25 @@
 	sent      sentIDs
 	idleUntil time.Time
 	reused    bool
+	pool      *backendPool // that counts it; nil for none
+	closed    atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *backendConn) Close() error {
+	if c.pool != nil && c.closed.CompareAndSwap(false, true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // backendPool keeps idle connections to the servers, by server ID and address. It is
 // safe for concurrent use.
 type backendPool struct {
-	mu        sync.Mutex
-	idle      map[string][]*backendConn
-	idleCount int
-	maxIdle   int // connections in idle; 0 for no limit
+	mu      sync.Mutex
+	idle    map[string][]*backendConn
+	open    atomic.Int64 // connections, idle ones and those in use
+	maxOpen int64        // above it, no connection is kept idle; 0 for no limit
 }
 
 func newBackendPool() *backendPool { return &backendPool{idle: map[string][]*backendConn{}} }
@@ -80,7 +91,6 @@
 			continue
 		}
 		p.idle[key] = slices.Delete(p.idle[key], i, i+1)
-		p.idleCount--
 		if open {
 			conn.reused = true
 			return conn
@@ -96,12 +106,11 @@
 func (p *backendPool) put(key string, conn *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.maxIdle > 0 && p.idleCount >= p.maxIdle {
+	if p.maxOpen > 0 && p.open.Load() > p.maxOpen {
 		_ = conn.Close()
 		return
 	}
 	p.idle[key] = append(p.idle[key], conn)
-	p.idleCount++
 }
 
 // sweep closes the connections whose idle time is over.
@@ -116,7 +125,6 @@
 				continue
 			}
 			_ = conn.Close()
-			p.idleCount--
 		}
 		if p.idle[key] = kept; len(kept) == 0 {
 			delete(p.idle, key)
@@ -198,7 +206,8 @@
 		return nil, err
 	}
 	limiter := &headLimiter{Conn: conn}
-	return &backendConn{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}, nil
+	b.pool.open.Add(1)
+	return &backendConn{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), pool: b.pool}, nil
 }
 
 // roundTrip writes the request and reads its answer, skipping answers to other
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 		loaded: make(chan struct{}), pending: map[uint64]chan reply{}, accepting: newPhase(), placing: newPhase(), serving: newPhase(),
 		callerStallTimeout: callerStallTimeout,
 	}
-	g.backend.pool.maxIdle = settings.MaxFDs / idleDescriptorShare
+	g.backend.pool.maxOpen = int64(backendDescriptors * float64(settings.MaxFDs))
 	g.schedule.Store(newShutdownSchedule(settings.Bounds.GracePeriod))
 	g.owned.onAvoidanceChange, g.owned.onLimitChange = g.logAvoidance, g.logLimit
 	g.owned.knownLimits = g.localBrokers.serviceLimits
