--- a/gateway/backend.go
+++ b/gateway/backend.go
@@ -12,11 +12,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"lacewingmount.dev/daemon"
 	"lacewingmount.dev/placement"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/sockets"
@@ -30,6 +32,7 @@
 	maxInlineBody      = 16 << 10               // bytes; a longer request body is written while the answer is awaited
 	maxSkippedAnswers  = 64                     // 1xx answers, and answers to other requests, that are skipped in one exchange
 	readBufferSize     = 4 << 10                // bytes; the size of most answers
+	backendDescriptors = 0.375                  // share of the descriptors above which no connection to a server is kept idle
 )
 
 // backendLiveness detects within 2 s that the path to a server is cut, so that no
@@ -54,13 +57,25 @@
 	sent      sentIDs
 	idleUntil time.Time
 	reused    bool
+	pool      *backendPool // that counts it; nil for none
+	closed    atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *backendConn) Close() error {
+	if c.pool != nil && c.closed.CompareAndSwap(false, true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // backendPool keeps idle connections to the servers, by server ID and address. It is
 // safe for concurrent use.
 type backendPool struct {
-	mu   sync.Mutex
-	idle map[string][]*backendConn
+	mu      sync.Mutex
+	idle    map[string][]*backendConn
+	open    atomic.Int64 // connections, idle ones and those in use
+	maxOpen int64        // above it, no connection is kept idle; 0 for no limit
 }
 
 func newBackendPool() *backendPool { return &backendPool{idle: map[string][]*backendConn{}} }
@@ -93,6 +108,10 @@
 func (p *backendPool) put(key string, conn *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.maxOpen > 0 && p.open.Load() > p.maxOpen {
+		_ = conn.Close()
+		return
+	}
 	p.idle[key] = append(p.idle[key], conn)
 }
 
@@ -119,9 +138,10 @@
 type outbound struct {
 	method, uri, host, id string
 	header                http.Header
-	body                  []byte
+	body                  body
 	checkZone             func() error // called right before the request is sent, which an error prevents; may be nil
 	early                 *earlyRun    // nil if the request is not run early
+	hold                  *daemon.Hold // is charged with the answers; nil for none
 }
 
 // exchange is one attempt of a request at one server.
@@ -131,6 +151,7 @@
 	status   int
 	header   http.Header
 	body     []byte
+	charged  int            // bytes that are charged for body
 	rest     *http.Response // rest of an answer longer than body; nil if body is complete
 	conn     *backendConn
 	took     time.Duration
@@ -196,7 +217,8 @@
 		return nil, err
 	}
 	limiter := &headLimiter{Conn: conn}
-	return &backendConn{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}, nil
+	b.pool.open.Add(1)
+	return &backendConn{Conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), pool: b.pool}, nil
 }
 
 // roundTrip writes the request and reads its answer, skipping answers to other
@@ -232,7 +254,7 @@
 			x.unusable = true // answers may no longer match requests on this connection
 			continue
 		}
-		return x.read(response, request.early.reserveBody)
+		return x.read(response, request)
 	}
 	return errOtherRequest
 }
@@ -255,17 +277,20 @@
 // body is long.
 func (x *exchange) write(request *outbound) error {
 	var head bytes.Buffer
-	head.Grow(len(request.body) + 1024)
+	inline := request.body.length <= maxInlineBody
+	if inline {
+		head.Grow(request.body.length + 1024)
+	}
 	head.WriteString(request.method + " " + request.uri + " HTTP/1.1\r\nHost: " + request.host + "\r\n")
 	if err := request.header.Write(&head); err != nil {
 		return err
 	}
-	if len(request.body) > 0 || request.method != http.MethodGet && request.method != http.MethodHead {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(request.body)) + "\r\n")
+	if request.body.length > 0 || request.method != http.MethodGet && request.method != http.MethodHead {
+		head.WriteString("Content-Length: " + strconv.Itoa(request.body.length) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(request.body) <= maxInlineBody {
-		head.Write(request.body)
+	if inline {
+		_, _ = request.body.WriteTo(&head) // cannot fail
 		_, err := x.conn.Write(head.Bytes())
 		return err
 	}
@@ -273,33 +298,37 @@
 	go func() {
 		_, err := x.conn.Write(head.Bytes())
 		if err == nil {
-			_, err = x.conn.Write(request.body)
+			_, err = request.body.WriteTo(x.conn)
 		}
 		x.writeErr <- err
 	}()
 	return nil
 }
 
-// read reads an answer: completely, or the first bytes of one that is longer than reserve
-// allows. reserve is called with a length in bytes and returns how many may be read.
-func (x *exchange) read(response *http.Response, reserve func(length int) int) error {
+// read reads an answer: completely, or the first maxBufferedBody bytes of a longer one, or
+// fewer if there is no memory for them.
+func (x *exchange) read(response *http.Response, request *outbound) error {
 	x.status, x.header = response.StatusCode, response.Header
 	x.unusable = x.unusable || response.Close
 	headers := platform.ReadResponseHeaders(x.status, x.header)
 	if x.status < http.StatusMultipleChoices && !headers.Signed {
 		return errUnsigned
 	}
-	length := maxBufferedBody
-	if response.ContentLength >= 0 {
-		length = int(min(response.ContentLength, maxBufferedBody))
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0
+	}
+	most := maxBufferedBody
+	if length >= 0 {
+		most = int(min(length, maxBufferedBody))
 	}
-	limit := reserve(length)
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	body, whole, charged, err := request.hold.ReadPart(response.Body, length, request.early.reserveBody(most))
+	x.charged = charged
 	if err != nil {
 		return err
 	}
 	x.body = body
-	if len(body) > limit {
+	if !whole {
 		x.rest = response
 		return nil
 	}
--- a/gateway/partial_test.go
+++ b/gateway/partial_test.go
@@ -52,11 +52,11 @@
 func attemptAt(t *testing.T, address string, body []byte, reused bool) *exchange {
 	t.Helper()
 	b := &backend{pool: newBackendPool()}
-	attempt := func(id string, body []byte) *exchange {
+	attempt := func(id string, content []byte) *exchange {
 		const limit = time.Second
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
-		request := &outbound{method: http.MethodPost, uri: "/", host: "h", id: id, header: http.Header{"Request-Id": {id}}, body: body}
+		request := &outbound{method: http.MethodPost, uri: "/", host: "h", id: id, header: http.Header{"Request-Id": {id}}, body: wholeBody(content)}
 		return b.attempt(ctx, platform.Server{ID: "s", Address: address}, request, time.Now().Add(limit))
 	}
 	if reused {
@@ -214,3 +214,6 @@
 		}
 	}
 }
+
+// wholeBody returns a request body of one piece.
+func wholeBody(content []byte) body { return body{pieces: [][]byte{content}, length: len(content)} }
