placement: servers count as capacity by what they can be expected to finish

Cause: crashed, silent, slow and refusing servers counted in full, so requests were queued that no server could run and refused after a wait; each refusal of a server took all its slots out of use for 150 ms. Change: capacityShare weighs a server's slots by failure, silence, contact, refused share, warm-up and speed; waits count the arrivals of higher priority; silent and refusing servers cost more in the choice; a request whose server could not be reached keeps its place.

--- a/placement/broker.go
+++ b/placement/broker.go
@@ -28,6 +28,7 @@
 	latencyEstimate latencyEstimate
 	inUseFloor      inUseFloor
 	limits          limitTable
+	demand          demand
 	changes         []AvoidanceChange
 	share           failingShare // estimated share of failing servers
 	failurePeriod   failurePeriodEstimate
@@ -94,7 +95,11 @@
 	}
 	b.retries.observeRequest(now)
 	b.inUseFloor.observeRequest(now, request.Safe)
+	b.demand.observe(now, request.Priority)
 	b.fairQueue.assignRound(now, r)
+	if r.placedBefore() {
+		r.round = b.fairQueue.currentRound - 1
+	}
 	var decisions []Decision
 	if len(b.limits.limits) > 0 { // time alone lets these servers accept more, and retries wait for it
 		decisions = b.dispatchRetries(now)
@@ -105,7 +110,7 @@
 			return append(decisions, b.grant(now, r, s))
 		}
 	}
-	if reason, retryAfter := b.rejectionReason(now, r); reason != "" {
+	if reason, retryAfter := b.rejectionReason(now, r); reason != "" && !(r.placedBefore() && b.canStillServe(now, r)) {
 		return append(decisions, b.refuse(now, request.ID, reason, retryAfter))
 	}
 	b.enqueue(now, r)
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -55,7 +55,7 @@
 			used++
 		}
 		s.observeRunning(now, b.latencyEstimate.fastFailureLimit())
-		failingProbability := s.health.failingProbability(now, b.share.value)
+		failingProbability := s.unusableProbability(now, b.latencyEstimate.meanLatency(), b.share.value)
 		if withinLimit && s.hasSlot(now, failingProbability) {
 			set.candidates = append(set.candidates, s.newCandidate(now, failingProbability, b.latencyEstimate.mean, nearlyIdle))
 		}
@@ -72,6 +72,7 @@
 	if s.used.IsZero() && now.Sub(s.joinedAt) > firstRequestWait {
 		c.requestFailure = 0
 	}
+	c.requestFailure += (1 - c.requestFailure) * shedCost * s.shedShare(now)
 	load := float64(len(s.running)+1) / float64(s.Slots)
 	c.baseCost = loadCost * load * load * load * load
 	if now.Before(s.warmupUntil) {
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	minSlotWait        = 10 * time.Microsecond  // lower bound of the expected wait for a slot; no service has 100,000 requests a second at one owner
@@ -8,21 +13,148 @@
 	minRetryAfter      = 200 * time.Millisecond // a caller that returns sooner finds the same queue
 	maxRetryAfter      = 3 * time.Second        // callers wait for up to a third of their time limit
 	noServerRetryAfter = 500 * time.Millisecond // when there is no server; registrations change about every second
+	silentPrior        = 0.02                   // probability that a server has become silent, before any sign of it
+	unheardProbability = 0.5                    // probability that a server is still silent that two VMs could not reach; they are cut off for seconds
+	maxQuietMeans      = 3                      // mean latencies of one request that count as evidence of silence; three requests in a hundred take seven
+	maxQuietEvidence   = 30                     // mean latencies of all requests by which silence is certain
+	coldShare          = 0.5                    // of its slots that a server counts with while it warms up; cold servers took twice the usual time
+	shedWeight         = 0.15                   // weight of the newest outcome in the share of requests that a server refuses
+	shedDecay          = 3 * time.Second        // time constant with which that share decays without outcomes; servers refuse a share for about 8 s
+	maxRefusalBackoff  = 6                      // upper bound of a backoff after a refusal, in shedBackoff; a server that gets nothing for 2 s does not count as in use
+	shedCost           = 0.3                    // of a request that its server refuses: it spends retry budget, of which there is one for five requests
+	minCapacityShare   = 0.02                   // of the slots of registered servers that count as capacity if fewer seem to be usable; probes keep finding servers
+	demandFast         = 300 * time.Millisecond // time constant of the newest arrival rate
+	demandSlow         = time.Second            // time constant of the arrival rate that it is compared with
+	minDrainShare      = 0.2                    // of the capacity that is left to a rank whatever the higher ones send
 )
 
 // expectedWait returns the expected time until the given number of requests have
 // been granted a slot.
 func (b *Broker) expectedWait(now time.Time, requests int) time.Duration {
-	mean, slots := b.latencyEstimate.meanLatency(), 0.0
+	return time.Duration(float64(requests) / b.slotsPerSecond(now) * float64(time.Second))
+}
+
+// placedBefore reports whether the request was granted a slot of a server that its VM could not
+// reach. It was admitted then, and has lost its place in the queue without its fault.
+func (r *queued) placedBefore() bool { return len(r.Tried) > 0 && !r.Retry }
+
+// canStillServe reports whether a request that goes before the others is expected to be answered
+// before its deadline.
+func (b *Broker) canStillServe(now time.Time, r *queued) bool {
+	return b.hasUsableServer(now, r) && b.limitWait(now, r, 0) <= r.Left && r.Left > workMargin*b.latencyEstimate.meanLatency()
+}
+
+// expectedWaitBehind is expectedWait for a request that the given number of queued requests
+// precede, and that later arrivals of higher priority will overtake.
+func (b *Broker) expectedWaitBehind(now time.Time, r *queued, ahead int, perSecond float64) time.Duration {
+	left := max(minDrainShare*perSecond, perSecond-b.demand.above(now, r.Priority))
+	return time.Duration(float64(ahead) / left * float64(time.Second))
+}
+
+// slotsPerSecond returns the requests per second that are expected to get a slot. Servers
+// count by what they can be expected to finish.
+func (b *Broker) slotsPerSecond(now time.Time) float64 {
+	mean, usual := b.latencyEstimate.meanLatency(), b.usualLatency()
+	slots, registered := 0.0, 0
 	for _, s := range b.serversByID {
-		if !s.Draining && s.health.failingProbability(now, b.share.value) < unusableThreshold {
-			slots += s.usableSlots(now, mean)
+		registered += s.Slots
+		if !s.Draining {
+			slots += min(s.usableSlots(now, mean), float64(s.Slots)*s.capacityShare(now, mean, usual, b.share.value))
 		}
 	}
+	slots = max(slots, minCapacityShare*float64(registered))
 	if slots == 0 {
-		slots = float64(max(1, len(b.serversByID)))
+		slots = 1
+	}
+	return slots / mean.Seconds()
+}
+
+// usualLatency returns the mean latency of the servers that are not slow, in seconds. It is
+// lower than that of all answers while some servers are slow.
+func (b *Broker) usualLatency() float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.serversByID {
+		if s.latency > 0 && s.latency <= slowThreshold*b.latencyEstimate.mean {
+			sum += s.latency
+			n++
+		}
+	}
+	if n == 0 {
+		return b.latencyEstimate.mean
+	}
+	return sum / float64(n)
+}
+
+// capacityShare returns the share of the server's slots with which it counts as capacity,
+// relative to a usual server whose requests take the mean latency.
+func (s *server) capacityShare(now time.Time, mean time.Duration, usual, failingShare float64) float64 {
+	failing := s.health.failingProbability(now, failingShare)
+	if failing >= unusableThreshold || s.unheard >= downMinVMs || s.Slots == 0 {
+		return 0
+	}
+	share := (1 - failing) * (1 - s.silentProbability(now, mean)) * (1 - s.shedShare(now)) * float64(max(0, s.Slots-s.overdue)) / float64(s.Slots)
+	if now.Before(s.warmupUntil) {
+		share *= coldShare
 	}
-	return time.Duration(float64(mean) * float64(requests) / slots)
+	if s.latency > slowThreshold*usual {
+		share *= usual / s.latency
+	}
+	return share
+}
+
+// silentProbability returns the probability that the server has stopped answering, as with a
+// network that drops its packets. Only time beyond the mean latency in which the server
+// answered nothing counts, of each running request: an idle server is silent as well, and the
+// requests of a burst end together. Each mean latency of it makes silence e times as likely.
+func (s *server) silentProbability(now time.Time, mean time.Duration) float64 {
+	var quiet time.Duration // whole numbers, whose sum does not depend on the order
+	for _, g := range s.running {
+		quiet += min(maxQuietMeans*mean, max(0, min(now.Sub(g.startedAt), now.Sub(s.heardAt))-mean))
+	}
+	if quiet == 0 {
+		return 0
+	}
+	odds := silentPrior / (1 - silentPrior) * math.Expm1(min(quiet.Seconds()/mean.Seconds(), maxQuietEvidence))
+	return odds / (1 + odds)
+}
+
+// unusableProbability returns the probability that a request to the server fails, because it is
+// failing or silent. A server that nobody has reached lately counts as silent until it answers.
+func (s *server) unusableProbability(now time.Time, mean time.Duration, failingShare float64) float64 {
+	silent := s.silentProbability(now, mean)
+	if s.unheard >= downMinVMs {
+		silent = max(silent, unheardProbability)
+	}
+	return 1 - (1-s.health.failingProbability(now, failingShare))*(1-silent)
+}
+
+// observeContact records an outcome that shows whether the server can be reached, and
+// whether it accepts requests.
+func (s *server) observeContact(now time.Time, outcome Outcome) {
+	switch outcome {
+	case Answered, Failed, Broken, Shed:
+		s.heardAt, s.unheard = now, 0
+	case Unreachable, Silent:
+		s.unheard++
+		return
+	default:
+		return
+	}
+	refused := 0.0
+	if outcome == Shed {
+		refused = 1
+	}
+	s.shed = s.shedShare(now)
+	s.shed += shedWeight * (refused - s.shed)
+	s.shedUpdated = now
+}
+
+// shedShare returns the share of its requests that the server refuses without running them.
+func (s *server) shedShare(now time.Time) float64 {
+	if s.shed == 0 {
+		return 0
+	}
+	return s.shed * math.Exp(-now.Sub(s.shedUpdated).Seconds()/shedDecay.Seconds())
 }
 
 // retryAfter returns the expected time until the queue has been served, within
@@ -33,3 +165,52 @@
 	}
 	return min(maxRetryAfter, max(minRetryAfter, b.expectedWait(now, len(b.queue))))
 }
+
+// demand estimates the arrival rates of a service's first attempts by priority.
+type demand struct{ byPriority []*arrivalRate } // in the order of their priorities
+
+// arrivalRate holds two decayed counts of arrivals; their difference is the trend.
+type arrivalRate struct {
+	priority   int
+	fast, slow float64 // arrivals per second, at updated
+	updated    time.Time
+}
+
+func (d *demand) observe(now time.Time, priority int) {
+	at, known := slices.BinarySearchFunc(d.byPriority, priority, func(r *arrivalRate, p int) int { return cmp.Compare(r.priority, p) })
+	if !known {
+		d.byPriority = slices.Insert(d.byPriority, at, &arrivalRate{priority: priority, updated: now})
+	}
+	rate := d.byPriority[at]
+	rate.fast, rate.slow = rate.at(now)
+	rate.updated = now
+	rate.fast += 1 / demandFast.Seconds()
+	rate.slow += 1 / demandSlow.Seconds()
+}
+
+// at returns both rates at a time.
+func (r *arrivalRate) at(now time.Time) (fast, slow float64) {
+	since := now.Sub(r.updated).Seconds()
+	return r.fast * math.Exp(-since/demandFast.Seconds()), r.slow * math.Exp(-since/demandSlow.Seconds())
+}
+
+// above returns the expected arrivals per second that go before those of the priority. A rate
+// that rises is expected to go on rising by the same amount.
+func (d *demand) above(now time.Time, priority int) float64 {
+	sum := 0.0
+	for _, rate := range d.byPriority {
+		if rate.priority >= priority {
+			break
+		}
+		fast, slow := rate.at(now)
+		sum += max(slow, 2*fast-slow)
+	}
+	return sum
+}
+
+// refusalBackoff returns the time without grants after the server refused a request without
+// running it. A server that refuses a share of its requests is used at the rate that it accepts:
+// little time for a share of a half, seconds for one close to 1, which spends only retry budget.
+func (s *server) refusalBackoff() time.Duration {
+	return time.Duration(min(maxRefusalBackoff, s.shed*s.shed*s.shed/(1-s.shed)) * float64(shedBackoff))
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -106,13 +106,13 @@
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
 	mean := b.latencyEstimate.meanLatency()
-	ahead := 0
+	ahead, perSecond := 0, b.slotsPerSecond(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
 		waited, maxWait, reason := now.Sub(r.queuedAt), r.maxWait(mean), ""
 		switch {
 		case waited > maxWait:
 			reason = "waited too long"
-		case waited+b.expectedWait(now, ahead) > time.Duration(expireWaitShare*float64(maxWait)):
+		case waited+b.expectedWaitBehind(now, r, ahead, perSecond) > time.Duration(expireWaitShare*float64(maxWait)):
 			reason = "the queue grew"
 		default:
 			ahead++
@@ -156,8 +156,8 @@
 			ahead++
 		}
 	}
-	perSecond := 1 / max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
-	wait := max(b.expectedWait(now, ahead+1), b.fairQueue.wait(now, r.Account, perSecond))
+	perSecond := min(1/minSlotWait.Seconds(), b.slotsPerSecond(now))
+	wait := max(b.expectedWaitBehind(now, r, ahead+1, perSecond), b.fairQueue.wait(now, r.Account, perSecond))
 	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
 	limitWait := b.limitWait(now, r, ahead)
 	switch {
--- a/placement/server.go
+++ b/placement/server.go
@@ -4,7 +4,7 @@
 
 const (
 	latencyWeight      = 0.15                   // weight of the newest answer in a server's mean latency
-	shedBackoff        = 150 * time.Millisecond // time without grants after a server refused a request because it was full
+	shedBackoff        = 150 * time.Millisecond // unit of the time without grants after a server refused a request
 	unreachableBackoff = 3 * time.Second        // time for which a VM that could not connect to a server avoids it
 	overdueFactor      = 1.5                    // multiple of the high latency after which a running request counts as a failure
 	minOverdue         = time.Second            // lower bound of that time; short latencies vary more
@@ -32,6 +32,10 @@
 	connected     map[string]time.Time // time since which a VM has an idle connection, by VM name
 	avoidedUntil  map[string]time.Time // time until which a VM that could not connect avoids the server, by VM name
 	limit         *serverLimit         // nil if the server has named none
+	heardAt       time.Time            // newest sign that the server can be reached
+	unheard       int                  // connections and requests without any answer since then
+	shed          float64              // share of its requests that it refused, at shedUpdated
+	shedUpdated   time.Time
 }
 
 func newServer(now time.Time, registered Server, failurePeriod *failurePeriodEstimate) *server {
@@ -45,6 +49,7 @@
 func (s *server) register(now time.Time, registered Server) {
 	if s.ID == "" || s.Born != registered.Born {
 		s.health, s.latency, s.used, s.joinedAt, s.limit = health{}, 0, time.Time{}, now, nil
+		s.heardAt, s.unheard, s.shed = now, 0, 0
 		clear(s.connected)
 	}
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
@@ -77,6 +82,7 @@
 // fastLimit counts as fast.
 func (s *server) observeOutcome(now time.Time, vm string, outcome Outcome, took, fastLimit time.Duration) {
 	s.updateConnected(now, vm, outcome)
+	s.observeContact(now, outcome)
 	switch outcome {
 	case Answered:
 		s.health.observeSuccess(now.Add(-took), s.failurePeriod)
@@ -90,7 +96,7 @@
 			s.health.observeOutcome(now, true)
 		}
 	case Shed:
-		s.fullUntil = now.Add(shedBackoff)
+		s.fullUntil = now.Add(s.refusalBackoff())
 	case Unreachable, Silent:
 		s.backOffPath(now, vm)
 	case Misdirected:
@@ -158,6 +164,7 @@
 		if !g.overdue && now.Sub(g.startedAt) > limit {
 			g.overdue = true
 			s.overdue++
+			s.unheard++
 			s.backOffPath(now, g.requestID.VM)
 		}
 	}
