placement: queued requests are held while they can be answered late

Cause: a queued request was refused once it had exceeded the wait that its target latency allows, although a late answer is worth more to its caller than a late refusal. Change: it is held for twice that wait if its deadline allows it; new requests are queued up to 0.75 of that wait (0.85).

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,8 +9,8 @@
 	maxLimitRetryAfter = time.Minute // while all servers have reached their limits; callers that return earlier are refused again
 	maxDispatchScan    = 32          // queued requests that are examined for a free slot in one dispatch
 	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
-	admitWaitShare     = 0.85        // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
-	expireWaitShare    = 1.25        // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
+	admitWaitShare     = 0.75        // share of maxWait that the expected wait of a new request may reach; the estimate is off by about a fifth, and some servers fail meanwhile
+	expireWaitShare    = 2.0         // multiple of maxWait for which a queued request is held; a late answer is worth more to a caller than a late refusal
 )
 
 // queued is a request that waits for a slot.
@@ -38,6 +38,13 @@
 	return max(0, min(inTime, r.Left-mean))
 }
 
+// heldFor returns how long the request is kept in the queue: beyond maxWait as long as it can be
+// answered before its time limit.
+func (r *queued) heldFor(mean time.Duration) time.Duration {
+	maxWait := r.maxWait(mean)
+	return max(maxWait, min(time.Duration(expireWaitShare*float64(maxWait)), r.Left-workMargin*mean))
+}
+
 // precedes orders a queue by priority, then by fair-queueing round, and within a round
 // by arrival.
 func (r *queued) precedes(other *queued) bool {
@@ -101,18 +108,19 @@
 	return decisions
 }
 
-// expire refuses the queued requests that have waited for longer than their maxWait,
-// and those that are expected to, because other requests were queued before them.
+// expire refuses the queued requests that have waited for much longer than their maxWait, and
+// those that are expected to, because other requests were queued before them. One that exceeds
+// it by less may still be answered late.
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
 	mean := b.latencyEstimate.meanLatency()
 	ahead, perSecond := 0, b.slotsPerSecond(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
-		waited, maxWait, reason := now.Sub(r.queuedAt), r.maxWait(mean), ""
+		waited, held, reason := now.Sub(r.queuedAt), r.heldFor(mean), ""
 		switch {
-		case waited > maxWait:
+		case waited > held:
 			reason = "waited too long"
-		case waited+b.expectedWaitBehind(now, r, ahead, perSecond) > time.Duration(expireWaitShare*float64(maxWait)):
+		case waited+b.expectedWaitBehind(now, r, ahead, perSecond) > held:
 			reason = "the queue grew"
 		default:
 			ahead++
