placement, gateway: the work of a request is estimated by route and body size

Cause: a service had one mean latency for all its requests, so a server with long requests looked like one with short ones, and a request might wait as long whatever its own work. Change: placement requests carry a hash of the route; the owner and each VM learn the work of each class apart from the speed of the servers, and what is left of running requests. Choice, waits and admission use it while the classes differ; a new owner gets it from the reports of its first 2 s. Attempts log expected=, with a metric of its error. TestEqualClassesChangeNoDecision: no decision changes while classes cost the same.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -28,7 +28,7 @@
 		tried, only := plan.choices(q.g.isRegistered)
 		slotRequest := placement.Request{
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
+			Priority: q.priority(), Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: len(q.outbound.body), Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(), Route: routeHash(q.route.Name),
 		}
 		waiting, endWait := q.waitContext(ctx)
 		decision := q.g.place(waiting, q.service, slotRequest)
@@ -88,9 +88,10 @@
 // to the owner of the service.
 func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) (x *exchange) {
 	seq := decision.ID.Seq
-	q.g.running.add(q.service, seq, server.ID)
+	class := placement.ClassOf(routeHash(q.route.Name), len(q.outbound.body))
+	q.g.running.add(q.service, seq, server.ID, class)
 	if !decision.Local {
-		q.g.localBrokers.recordGrant(q.g.now(), q.service, decision.ID, server.ID)
+		q.g.localBrokers.recordGrant(q.g.now(), q.service, decision.ID, server.ID, class)
 	}
 	header := q.outbound.header.Clone()
 	forwarded := platform.ForwardedHeaders{ServerID: server.ID, Account: q.accountName(), Deadline: time.Until(q.deadline) - answerMargin}
@@ -103,8 +104,9 @@
 		q.g.complete(q.service, seq, decision.Owner, q.g.endingOf(q.service, server, x))
 		q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
 			Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
-			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused, Limit: decision.Limit,
+			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused, Limit: decision.Limit, Expected: decision.Expected,
 		}})
+		observeEstimate(x.outcome, decision.Expected, x.took)
 	}()
 	x = q.g.backend.attempt(ctx, server, &sent, q.deadline)
 	return x
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	servers      atomic.Pointer[map[string]platform.Server] // by ID
 	owned        *brokers                                   // of services owned by this VM
 	localBrokers *brokers                                   // of this VM's requests only, used when an owner does not answer
+	ownerChanges ownerChanges                               // for what new owners are told
 	quotas       *quotas                                    // of accounts owned by this VM
 	localQuotas  *quotas                                    // used when an account's owner does not answer
 	running      *inFlight
@@ -263,7 +264,7 @@
 		}
 		return b.Request(now, placement.Request{
 			ID: placement.RequestID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
+			Priority: m.Priority, Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account, Route: m.Route,
 		})
 	})
 	g.sendDecisions(m.Service, decisions)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -17,17 +17,18 @@
 type inFlightRequest struct {
 	server string
 	since  time.Time
+	class  placement.Class
 }
 
 func newInFlight() *inFlight { return &inFlight{services: map[string]map[uint64]inFlightRequest{}} }
 
-func (f *inFlight) add(service string, seq uint64, server string) {
+func (f *inFlight) add(service string, seq uint64, server string, class placement.Class) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.services[service] == nil {
 		f.services[service] = map[uint64]inFlightRequest{}
 	}
-	f.services[service][seq] = inFlightRequest{server, time.Now()}
+	f.services[service][seq] = inFlightRequest{server, time.Now(), class}
 }
 
 func (f *inFlight) remove(service string, seq uint64) {
@@ -47,7 +48,7 @@
 			continue
 		}
 		for seq, flight := range flights {
-			running[service] = append(running[service], placement.Running{Seq: seq, Server: flight.server, Age: now.Sub(flight.since)})
+			running[service] = append(running[service], placement.Running{Seq: seq, Server: flight.server, Age: now.Sub(flight.since), Class: flight.class})
 		}
 	}
 	return running
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -60,6 +60,7 @@
 		Account  string
 		Only     []string  // if not empty, the only servers that may get the request
 		Limits   limitList // of the service's servers, while the owner has not confirmed that it knows them
+		Route    uint32    // hash of the route's name
 	}
 
 	placementReply struct {
@@ -75,6 +76,7 @@
 		Owner      string   // with NotOwner: the owner in the view of the sender, if it has received a message from that VM recently; else ""
 		Limit      *float64 // requests per second that the server accepts; nil if it names no limit
 		AtLimit    int      // servers that had reached their limits
+		ExpectedMs uint32   // milliseconds until the server's answer as estimated; 0 if nothing is estimated
 	}
 
 	release struct {
@@ -107,6 +109,7 @@
 		Limits      serviceLimits // that the sender knows, unless the receiver has confirmed them
 		LimitDigest uint64        // of the limits in force that the sender knows
 		Groups      groupList     // that the receiver owns in the sender's view; nil from earlier versions
+		Work        serviceWork   // what the sender has learned about the work of requests, for a new owner
 	}
 
 	syncAck struct {
@@ -160,6 +163,14 @@
 	return decodeByService(decoder, (*map[string][]limitReport)(l))
 }
 
+// serviceWork holds the work of classes of requests by service, with the same checks.
+type serviceWork map[string][]workReport
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (w *serviceWork) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeByService(decoder, (*map[string][]workReport)(w))
+}
+
 // decodeByService decodes lists by service.
 func decodeByService[T any](decoder *msgpack.Decoder, lists *map[string][]T) error {
 	services, err := checkLength(decoder.DecodeMapLen())
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -29,6 +29,7 @@
 	inUseFloor      inUseFloor
 	limits          limitTable
 	demand          demand
+	work            workEstimate
 	changes         []AvoidanceChange
 	share           failingShare // estimated share of failing servers
 	failurePeriod   failurePeriodEstimate
@@ -42,6 +43,7 @@
 	return &Broker{
 		servers: map[string]*server{}, grants: newGrantTable(), lastContact: map[string]time.Time{}, fairQueue: newFairQueue(),
 		retries: retryLimiter{RetryBudget: policy.Retries}, inUseFloor: inUseFloor{share: policy.MinServers}, share: failingShare{value: initialFailingShare}, failurePeriod: failurePeriodEstimate{value: initialFailurePeriod}, latencyEstimate: newLatencyEstimate(), random: random,
+		work:   newWorkEstimate(),
 		limits: limitTable{limits: map[string]*serverLimit{}, parts: map[string]time.Time{}, random: random},
 	}
 }
@@ -142,6 +144,7 @@
 	if g := b.grants.get(id); g != nil && g.spentLimit && (outcome == Unreachable || outcome == Unused && serverID == "") {
 		g.server.restoreLimit(now)
 	}
+	granted := b.grants.get(id)
 	b.release(id)
 	b.countUnserved(now, outcome)
 	if s := b.servers[serverID]; s != nil {
@@ -153,6 +156,9 @@
 		}
 		if outcome == Answered {
 			b.latencyEstimate.observe(took)
+			if granted != nil && granted.server == s {
+				b.work.observe(now, granted.class, s, took, b.latencyEstimate.mean)
+			}
 		}
 	}
 	return b.dispatch(now)
@@ -168,7 +174,7 @@
 		listed[r.Seq] = true
 		id := RequestID{VM: vm, Seq: r.Seq}
 		if s := b.servers[r.Server]; s != nil && b.grants.get(id) == nil {
-			b.addGrant(id, s, now.Add(-r.Age))
+			b.assignClass(b.addGrant(id, s, now.Add(-r.Age)), r.Class)
 		}
 	}
 	for seq, g := range b.grants.ofVM(vm) {
@@ -192,6 +198,7 @@
 	for _, s := range b.serversByID {
 		s.markOverdue(now, b.latencyEstimate.overdueLimit())
 	}
+	b.work.update(now, b.serversByID)
 	return append(b.expire(now), b.dispatch(now)...)
 }
 
@@ -228,7 +235,12 @@
 	if rate, limited := s.limit.rate(now); limited {
 		decision.Limit = rate
 	}
-	b.addGrant(r.ID, s, now).spentLimit = s.spendLimit(now)
+	if b.work.inForce {
+		decision.Expected = b.expectedTime(now, s, b.workOf(&r.Request))
+	}
+	g := b.addGrant(r.ID, s, now)
+	b.assignClass(g, r.class())
+	g.spentLimit = s.spendLimit(now)
 	return decision
 }
 
@@ -254,6 +266,7 @@
 func (b *Broker) choose(now time.Time, r *queued, set *candidateSet) *server {
 	tolerance := baseTolerance + tolerancePerSecond*now.Sub(r.queuedAt).Seconds()
 	useNearlyIdle := set.tooFewInUse && !r.Retry && (r.Safe || !set.safeOnly)
+	work := b.workOf(&r.Request)
 	var best, nearlyIdle *server
 	lowestCost, lowestIdleCost := 0.0, 0.0
 	for i := range set.candidates {
@@ -262,6 +275,9 @@
 			continue
 		}
 		cost := c.costFor(now, &r.Request) + costJitter*b.random.Float64()
+		if b.work.inForce {
+			cost += lateness(&r.Request, b.expectedTime(now, c.server, work))
+		}
 		if useNearlyIdle && c.nearlyIdle {
 			idleCost := cost - recoveryCredit*c.health.recovery(now)
 			if nearlyIdle == nil || idleCost < lowestIdleCost {
@@ -303,10 +319,15 @@
 	}
 }
 
-// RecordGrant records the grant of another Broker, so that its request is counted.
+// RecordGrant is RecordClassGrant for a request of unknown class.
 func (b *Broker) RecordGrant(now time.Time, id RequestID, serverID string) {
+	b.RecordClassGrant(now, id, serverID, Class{})
+}
+
+// RecordClassGrant records the grant of another Broker, so that its request is counted.
+func (b *Broker) RecordClassGrant(now time.Time, id RequestID, serverID string, class Class) {
 	b.lastContact[id.VM] = now
 	if s := b.servers[serverID]; s != nil && b.grants.get(id) == nil {
-		b.addGrant(id, s, now)
+		b.assignClass(b.addGrant(id, s, now), class)
 	}
 }
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -57,7 +57,7 @@
 		s.observeRunning(now, b.latencyEstimate.fastFailureLimit())
 		failingProbability := s.unusableProbability(now, b.latencyEstimate.meanLatency(), b.share.value)
 		if withinLimit && s.hasSlot(now, failingProbability) {
-			set.candidates = append(set.candidates, s.newCandidate(now, failingProbability, b.latencyEstimate.mean, nearlyIdle))
+			set.candidates = append(set.candidates, b.newCandidate(now, s, failingProbability, nearlyIdle))
 		}
 	}
 	requiredShare, safeOnly := b.inUseFloor.requiredShare(now)
@@ -66,7 +66,8 @@
 }
 
 // newCandidate computes the costs of the server that are the same for all requests.
-func (s *server) newCandidate(now time.Time, failingProbability, mean float64, nearlyIdle bool) candidate {
+func (b *Broker) newCandidate(now time.Time, s *server, failingProbability float64, nearlyIdle bool) candidate {
+	mean := b.latencyEstimate.mean
 	c := candidate{server: s, failingProbability: failingProbability, nearlyIdle: nearlyIdle}
 	c.requestFailure = failingErrorRate*failingProbability + (1-failingProbability)*s.health.lossRate(now)
 	if s.used.IsZero() && now.Sub(s.joinedAt) > firstRequestWait {
@@ -74,11 +75,14 @@
 	}
 	c.requestFailure += (1 - c.requestFailure) * shedCost * s.shedShare(now)
 	load := float64(len(s.running)+1) / float64(s.Slots)
+	if b.work.inForce {
+		load = b.workLoad(now, s)
+	}
 	c.baseCost = loadCost * load * load * load * load
 	if now.Before(s.warmupUntil) {
 		c.baseCost += warmupCost
 	}
-	if mean > 0 && s.latency > slowThreshold*mean {
+	if !b.work.inForce && mean > 0 && s.latency > slowThreshold*mean {
 		c.baseCost += min(maxSlowCost, slowCost*(s.latency/mean-slowThreshold))
 	}
 	return c
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -31,7 +31,7 @@
 // expectedWait returns the expected time until the given number of requests have
 // been granted a slot.
 func (b *Broker) expectedWait(now time.Time, requests int) time.Duration {
-	return time.Duration(float64(requests) / b.slotsPerSecond(now) * float64(time.Second))
+	return time.Duration(float64(requests) * b.queueWork() / b.slotsPerSecond(now) * float64(time.Second))
 }
 
 // placedBefore reports whether the request was granted a slot of a server that its VM could not
@@ -41,7 +41,7 @@
 // canStillServe reports whether a request that goes before the others is expected to be answered
 // before its deadline.
 func (b *Broker) canStillServe(now time.Time, r *queued) bool {
-	return b.hasUsableServer(now, r) && b.limitWait(now, r, 0) <= r.Left && r.Left > workMargin*b.latencyEstimate.meanLatency()
+	return b.hasUsableServer(now, r) && b.limitWait(now, r, 0) <= r.Left && r.Left > workMargin*b.workOf(&r.Request)
 }
 
 // expectedWaitBehind is expectedWait for a request that the given number of queued requests
@@ -51,6 +51,14 @@
 	return time.Duration(float64(ahead) / left * float64(time.Second))
 }
 
+// usualWork returns the work of a usual request on a server of usual speed, in seconds.
+func (b *Broker) usualWork() float64 {
+	if b.work.inForce && b.work.mean > 0 {
+		return b.work.mean
+	}
+	return b.latencyEstimate.mean
+}
+
 // slotsPerSecond returns the requests per second that are expected to get a slot. Servers
 // count by what they can be expected to finish.
 func (b *Broker) slotsPerSecond(now time.Time) float64 {
@@ -59,14 +67,14 @@
 	for _, s := range b.serversByID {
 		registered += s.Slots
 		if !s.Draining {
-			slots += min(s.usableSlots(now, mean), float64(s.Slots)*s.capacityShare(now, mean, usual, b.share.value))
+			slots += min(s.usableSlots(now, mean), float64(s.Slots)*b.capacityShare(now, s, mean, usual))
 		}
 	}
 	slots = max(slots, minCapacityShare*float64(registered))
 	if slots == 0 {
 		slots = 1
 	}
-	return slots / mean.Seconds()
+	return slots / b.usualWork()
 }
 
 // usualLatency returns the mean latency of the servers that are not slow, in seconds. It is
@@ -87,7 +95,8 @@
 
 // capacityShare returns the share of the server's slots with which it counts as capacity,
 // relative to a usual server whose requests take the mean latency.
-func (s *server) capacityShare(now time.Time, mean time.Duration, usual, failingShare float64) float64 {
+func (b *Broker) capacityShare(now time.Time, s *server, mean time.Duration, usual float64) float64 {
+	failingShare := b.share.value
 	failing := s.health.failingProbability(now, failingShare)
 	if failing >= unusableThreshold || s.unheard >= downMinVMs || s.Slots == 0 {
 		return 0
@@ -96,10 +105,19 @@
 	if now.Before(s.warmupUntil) {
 		share *= coldShare
 	}
+	return share / b.slownessForCapacity(s, usual)
+}
+
+// slownessForCapacity returns the time that the server takes as a multiple of the usual one. Without
+// classes only servers that are clearly slow count, as the latencies of few requests vary.
+func (b *Broker) slownessForCapacity(s *server, usual float64) float64 {
+	if b.work.inForce {
+		return max(0.1, b.work.slowness(s))
+	}
 	if s.latency > slowThreshold*usual {
-		share *= usual / s.latency
+		return s.latency / usual
 	}
-	return share
+	return 1
 }
 
 // silentProbability returns the probability that the server has stopped answering, as with a
@@ -107,6 +125,9 @@
 // answered nothing counts, of each running request: an idle server is silent as well, and the
 // requests of a burst end together. Each mean latency of it makes silence e times as likely.
 func (s *server) silentProbability(now time.Time, mean time.Duration) float64 {
+	if now.Sub(s.heardAt) <= mean {
+		return 0
+	}
 	var quiet time.Duration // whole numbers, whose sum does not depend on the order
 	for _, g := range s.running {
 		quiet += min(maxQuietMeans*mean, max(0, min(now.Sub(g.startedAt), now.Sub(s.heardAt))-mean))
--- a/placement/grants.go
+++ b/placement/grants.go
@@ -8,7 +8,9 @@
 	server     *server
 	startedAt  time.Time
 	overdue    bool // was already counted as a failure
-	spentLimit bool // counts against the server's limit at this Broker
+	class      Class
+	expected   float64 // seconds until the answer, as estimated at the grant
+	spentLimit bool    // counts against the server's limit at this Broker
 }
 
 // grantTable holds the grants of a Broker by VM and sequence number, so that a VM's
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -113,10 +113,9 @@
 // it by less may still be answered late.
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
-	mean := b.latencyEstimate.meanLatency()
-	ahead, perSecond := 0, b.slotsPerSecond(now)
+	ahead, perSecond := 0, b.slotsPerSecond(now)/b.queueWork()
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
-		waited, held, reason := now.Sub(r.queuedAt), r.heldFor(mean), ""
+		waited, held, reason := now.Sub(r.queuedAt), r.heldFor(b.workOf(&r.Request)), ""
 		switch {
 		case waited > held:
 			reason = "waited too long"
@@ -164,9 +163,9 @@
 			ahead++
 		}
 	}
-	perSecond := min(1/minSlotWait.Seconds(), b.slotsPerSecond(now))
+	perSecond := min(1/minSlotWait.Seconds(), b.slotsPerSecond(now)/b.queueWork())
 	wait := max(b.expectedWaitBehind(now, r, ahead+1, perSecond), b.fairQueue.wait(now, r.Account, perSecond))
-	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
+	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.workOf(&r.Request))))
 	limitWait := b.limitWait(now, r, ahead)
 	switch {
 	case max(wait, limitWait) <= maxWait:
--- a/placement/server.go
+++ b/placement/server.go
@@ -32,9 +32,12 @@
 	connected     map[string]time.Time // time since which a VM has an idle connection, by VM name
 	avoidedUntil  map[string]time.Time // time until which a VM that could not connect avoids the server, by VM name
 	limit         *serverLimit         // nil if the server has named none
-	heardAt       time.Time            // newest sign that the server can be reached
-	unheard       int                  // connections and requests without any answer since then
-	shed          float64              // share of its requests that it refused, at shedUpdated
+	slowness      float64              // time that it takes for its requests, relative to their work
+	answers       int                  // answers since its start
+	load          workLoad
+	heardAt       time.Time // newest sign that the server can be reached
+	unheard       int       // connections and requests without any answer since then
+	shed          float64   // share of its requests that it refused, at shedUpdated
 	shedUpdated   time.Time
 }
 
@@ -49,7 +52,7 @@
 func (s *server) register(now time.Time, registered Server) {
 	if s.ID == "" || s.Born != registered.Born {
 		s.health, s.latency, s.used, s.joinedAt, s.limit = health{}, 0, time.Time{}, now, nil
-		s.heardAt, s.unheard, s.shed = now, 0, 0
+		s.heardAt, s.unheard, s.shed, s.slowness, s.answers = now, 0, 0, 1, 0
 		clear(s.connected)
 	}
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
--- a/placement/workload_test.go
+++ b/placement/workload_test.go
@@ -43,6 +43,7 @@
 	next    time.Time // of the next tick
 	factor  float64   // of the kinds' rates
 	results []workResult
+	granted []string                   // servers in the order of the grants
 	classOf func(r *Request, kind int) // sets the class of a request; may be nil
 }
 
@@ -147,6 +148,7 @@
 		}
 		switch d.Verdict {
 		case Granted:
+			w.granted = append(w.granted, d.Server)
 			w.running = append(w.running, w.start(call, d))
 		case Refused:
 			delete(w.calls, d.ID)
