placement: a server that could not be reached is tried again as time passes

Cause: two failed connections without an answer since counted until the next answer, so a server that no request was sent to stayed avoided where no share of the servers must be in use. Change: unanswered requests lose their weight with a time constant of 10 s. A test of what a VM learns for itself.

--- a/gateway/work_test.go
+++ b/gateway/work_test.go
@@ -65,3 +65,28 @@
 		t.Errorf("an owner of long standing is told %v", again)
 	}
 }
+
+// Load: 100 requests of each of two routes, whose slots another VM grants. This VM must know their work,
+// for the time in which it decides alone and for the next owner.
+func TestVMLearnsTheWorkOfItsOwnRequests(t *testing.T) {
+	g := fuzzGateway(t)
+	for i := range uint64(200) {
+		route, id := uint32(i%2), placement.RequestID{VM: g.self.Name, Seq: 1000 + i}
+		g.localBrokers.recordGrant(g.now(), "svc", id, "s", placement.ClassOf(route, 0))
+		g.complete("svc", id.Seq, "vm-2", ending{server: "s", outcome: placement.Answered, took: 100*time.Millisecond + time.Duration(route)*time.Second})
+	}
+	_, _ = g.localBrokers.tick(g.now())
+	work := g.localBrokers.work(g.now(), func(string) bool { return true })["svc"]
+	if len(work) != 2 {
+		t.Fatalf("the VM has learned %v", work)
+	}
+	for _, class := range work {
+		low, high := uint32(50_000), uint32(200_000)
+		if class.Route == 1 {
+			low, high = 800_000, 1_400_000
+		}
+		if class.Micros < low || class.Micros > high {
+			t.Errorf("route %d is expected to take %d us", class.Route, class.Micros)
+		}
+	}
+}
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -14,6 +14,7 @@
 	maxRetryAfter      = 3 * time.Second        // callers wait for up to a third of their time limit
 	noServerRetryAfter = 500 * time.Millisecond // when there is no server; registrations change about every second
 	silentPrior        = 0.02                   // probability that a server has become silent, before any sign of it
+	unheardDecay       = 10 * time.Second       // time constant with which unanswered requests lose their weight; servers are cut off for some seconds
 	unheardProbability = 0.5                    // probability that a server is still silent that two VMs could not reach; they are cut off for seconds
 	maxQuietMeans      = 3                      // mean latencies of one request that count as evidence of silence; three requests in a hundred take seven
 	maxQuietEvidence   = 30                     // mean latencies of all requests by which silence is certain
@@ -98,10 +99,10 @@
 func (b *Broker) capacityShare(now time.Time, s *server, mean time.Duration, usual float64) float64 {
 	failingShare := b.share.value
 	failing := s.health.failingProbability(now, failingShare)
-	if failing >= unusableThreshold || s.unheard >= downMinVMs || s.Slots == 0 {
+	if failing >= unusableThreshold || s.Slots == 0 {
 		return 0
 	}
-	share := (1 - failing) * (1 - s.silentProbability(now, mean)) * (1 - s.shedShare(now)) * float64(max(0, s.Slots-s.overdue)) / float64(s.Slots)
+	share := (1 - failing) * (1 - s.unheardWeight(now)) * (1 - s.silentProbability(now, mean)) * (1 - s.shedShare(now)) * float64(max(0, s.Slots-s.overdue)) / float64(s.Slots)
 	if now.Before(s.warmupUntil) {
 		share *= coldShare
 	}
@@ -140,15 +141,25 @@
 }
 
 // unusableProbability returns the probability that a request to the server fails, because it is
-// failing or silent. A server that nobody has reached lately counts as silent until it answers.
+// failing or silent.
 func (s *server) unusableProbability(now time.Time, mean time.Duration, failingShare float64) float64 {
 	silent := s.silentProbability(now, mean)
-	if s.unheard >= downMinVMs {
-		silent = max(silent, unheardProbability)
-	}
+	silent = max(silent, unheardProbability*s.unheardWeight(now))
 	return 1 - (1-s.health.failingProbability(now, failingShare))*(1-silent)
 }
 
+// countUnheard counts a request or connection that got no answer.
+func (s *server) countUnheard(now time.Time) { s.unheard, s.unheardAt = s.unheard+1, now }
+
+// unheardWeight returns 1 for a server that has just been found unreachable by two VMs, and less
+// the longer nobody has tried, so that it is tried again.
+func (s *server) unheardWeight(now time.Time) float64 {
+	if s.unheard < downMinVMs {
+		return 0
+	}
+	return math.Exp(-now.Sub(s.unheardAt).Seconds() / unheardDecay.Seconds())
+}
+
 // observeContact records an outcome that shows whether the server can be reached, and
 // whether it accepts requests.
 func (s *server) observeContact(now time.Time, outcome Outcome) {
@@ -156,7 +167,7 @@
 	case Answered, Failed, Broken, Shed:
 		s.heardAt, s.unheard = now, 0
 	case Unreachable, Silent:
-		s.unheard++
+		s.countUnheard(now)
 		return
 	default:
 		return
--- a/placement/capacity_test.go
+++ b/placement/capacity_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -75,3 +76,29 @@
 		}
 	}
 }
+
+// Load: 290 requests a second to 29 servers with 116 slots, one of which two VMs could not reach for a
+// moment. No share of the servers must stay in use. The server must be tried again although nothing has been
+// heard of it, and must not be avoided for good.
+func TestServerIsUsedAgainAfterItWasUnreachable(t *testing.T) {
+	w := newWorkload(29, 4, 1, workKind{perSecond: 290, rank: 1, mean: 320 * time.Millisecond, spread: 0.5, target: 2 * time.Second, deadline: 6 * time.Second})
+	w.run(5 * time.Second)
+	w.broker.inUseFloor.share = -1
+	w.servers["s007"].silent = true // no request of it may end meanwhile
+	w.run(2 * time.Second)
+	for vm := range downMinVMs {
+		w.broker.Complete(w.now, RequestID{VM: fmt.Sprintf("vm%d", vm), Seq: 1 << 40}, "s007", Unreachable, 150*time.Millisecond)
+	}
+	w.servers["s007"].silent = false
+	from := len(w.granted)
+	w.run(20 * time.Second)
+	count := 0
+	for _, server := range w.granted[from:] {
+		if server == "s007" {
+			count++
+		}
+	}
+	if expected := (len(w.granted) - from) / 29; count < expected/4 {
+		t.Errorf("the server got %d requests in 20 s, an equal part is %d", count, expected)
+	}
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -37,7 +37,8 @@
 	load          workLoad
 	heardAt       time.Time // newest sign that the server can be reached
 	unheard       int       // connections and requests without any answer since then
-	shed          float64   // share of its requests that it refused, at shedUpdated
+	unheardAt     time.Time
+	shed          float64 // share of its requests that it refused, at shedUpdated
 	shedUpdated   time.Time
 }
 
@@ -167,7 +168,7 @@
 		if !g.overdue && now.Sub(g.startedAt) > limit {
 			g.overdue = true
 			s.overdue++
-			s.unheard++
+			s.countUnheard(now)
 			s.backOffPath(now, g.requestID.VM)
 		}
 	}
