placement: requests that wait are not refused when servers become slow

Cause: when all servers become slow, the wait that the target latency allows falls to nearly 0, and the requests that wait were refused although their deadlines are seconds away. Change: a queued request is held for 0.15 of its time limit at least, if it can be answered in time.

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -11,6 +11,7 @@
 	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
 	admitWaitShare     = 0.75        // share of maxWait that the expected wait of a new request may reach; the estimate is off by about a fifth, and some servers fail meanwhile
 	expireWaitShare    = 2.0         // multiple of maxWait for which a queued request is held; a late answer is worth more to a caller than a late refusal
+	heldShare          = 0.15        // share of its time limit for which it is held at least; when servers become slow, maxWait falls to nearly 0 for requests that wait
 )
 
 // queued is a request that waits for a slot.
@@ -42,7 +43,8 @@
 // answered before its time limit.
 func (r *queued) heldFor(mean time.Duration) time.Duration {
 	maxWait := r.maxWait(mean)
-	return max(maxWait, min(time.Duration(expireWaitShare*float64(maxWait)), r.Left-workMargin*mean))
+	longest := max(expireWaitShare*float64(maxWait), heldShare*float64(r.Left))
+	return max(maxWait, min(time.Duration(longest), r.Left-workMargin*mean))
 }
 
 // precedes orders a queue by priority, then by fair-queueing round, and within a round
