catalog, gateway: hold what is newer than the store's older copy

Cause: a store that returns from an older copy assigns revisions again. VMs ignored its new items, kept doubtful leases, and a restarted VM used servers that had left.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,6 +39,16 @@
 	Errors  []error          // one for each item skipped as invalid
 }
 
+// With returns the effects of e and then of another set of changes.
+func (e Effect) With(other Effect) Effect {
+	e.Servers, e.VMs, e.Zones = e.Servers || other.Servers, e.VMs || other.VMs, e.Zones || other.Zones
+	if other.Config != nil {
+		e.Config = other.Config
+	}
+	e.Forward, e.Errors = append(e.Forward, other.Forward...), append(e.Errors, other.Errors...)
+	return e
+}
+
 type item struct {
 	Change
 	removedAt       time.Time
@@ -47,6 +57,8 @@
 	digest          uint64
 	coldUntil       time.Time // expected end of a server's cold time, as the other VMs know it
 	prolonged       bool      // the cold time has become longer than the server said first
+	held            bool      // known from an earlier era of the store and not written in the present one yet
+	listedOnly      bool      // from a listing, by a VM that knew nothing of the item; may be that of an older copy of the store
 }
 
 // Catalog holds the deployment state known to one VM. It is not safe for
@@ -59,6 +71,7 @@
 	revision           uint64    // store revision up to which all changes have been applied
 	syncedAt           time.Time // the contents match the store at this time or later
 	outages            outages
+	restore            restore
 	nextLapse          time.Time // when the time of the first kept server ends; zero if none is kept
 	lastTombstoneSweep time.Time
 	prunedRevision     uint64 // removals up to this revision may have been pruned
@@ -83,7 +96,11 @@
 		return
 	}
 	known := c.items[change.Key]
-	if known != nil && change.Revision <= known.Revision {
+	if c.isHeld(change) {
+		if !acceptsHeld(known, change) {
+			return
+		}
+	} else if known != nil && change.Revision <= known.Revision {
 		return
 	}
 	if change.Removed {
@@ -91,6 +108,9 @@
 		return
 	}
 	next := &item{Change: change, digest: c.digestOf(change), contentRevision: change.Revision}
+	if c.isHeld(change) {
+		next.held, c.restore.holding = true, true
+	}
 	if change.Server != nil && change.Server.Cold > 0 {
 		next.coldUntil = now.Add(change.Server.Cold)
 	}
@@ -108,12 +128,15 @@
 
 func (c *Catalog) remove(now time.Time, known *item, change Change, effect *Effect) {
 	if known == nil || known.Removed {
-		c.items[change.Key] = &item{Change: change, removedAt: now, contentRevision: change.Revision}
+		c.items[change.Key] = &item{Change: change, removedAt: now, contentRevision: change.Revision, held: c.isHeld(change)}
+		c.restore.holding = c.restore.holding || c.isHeld(change)
 		return
 	}
 	c.digest ^= known.digest
 	tombstone := *known
 	tombstone.Revision, tombstone.Removed, tombstone.removedAt, tombstone.contentRevision = change.Revision, true, now, change.Revision
+	tombstone.held, tombstone.listedOnly = c.isHeld(change), false
+	c.restore.holding = c.restore.holding || tombstone.held
 	if until, keeps := c.outages.keepsLapsed(now); keeps && known.Server != nil {
 		tombstone.keepUntil = until
 		c.scheduleLapse(until)
@@ -134,7 +157,7 @@
 
 // applyConfig puts a configuration in force if it is valid and newer than the current one.
 func (c *Catalog) applyConfig(change Change, effect *Effect) {
-	if change.Revision <= c.configItem.Revision {
+	if change.Revision <= c.configItem.Revision && change.Revision > 0 {
 		return
 	}
 	config, err := platform.DecodeConfig(change.Config)
@@ -161,18 +184,26 @@
 }
 
 // Replace applies a complete listing of the store as of the given revision. Items
-// older than the revision that the listing lacks are removed.
+// older than the revision that the listing lacks are removed, unless they are held.
 func (c *Catalog) Replace(now time.Time, listing []Change, revision uint64) Effect {
-	present := make(map[string]bool, len(listing))
-	for _, change := range listing {
-		present[change.Key] = true
-	}
+	present := presentKeys(listing)
+	changes, doubted := c.selectListed(listing)
 	for key, known := range c.items {
-		if !present[key] && !known.Removed && known.Revision < revision {
-			listing = append(listing, Change{Key: key, Revision: revision, Removed: true})
+		if !present[key] && !known.Removed && !known.held && known.Revision < revision {
+			changes = append(changes, Change{Key: key, Revision: revision, Removed: true})
 		}
 	}
-	return c.Apply(now, listing)
+	effect := c.Apply(now, changes)
+	c.doubt(doubted)
+	return effect
+}
+
+func presentKeys(changes []Change) map[string]bool {
+	present := make(map[string]bool, len(changes))
+	for _, change := range changes {
+		present[change.Key] = true
+	}
+	return present
 }
 
 // Changes returns the changes after the revision since, to be sent to another VM.
@@ -182,14 +213,17 @@
 	if since < c.prunedRevision {
 		since = 0
 	}
-	if c.config != nil && c.configItem.Revision > since {
+	if c.config != nil && (c.configItem.Revision > since || since == 0) {
 		changes = append(changes, c.configItem)
 	}
 	for _, i := range c.items {
-		if i.contentRevision <= since {
+		if i.contentRevision <= since && since > 0 {
 			continue
 		}
 		change := i.Change
+		if i.held || i.listedOnly {
+			change.Revision = 0
+		}
 		if change.Removed {
 			change.Server, change.VM = nil, nil
 		}
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -35,10 +35,12 @@
 	differsSince time.Time // start of the time in which this VM's digest has differed from that of updates
 	fetchAll     bool      // the digests differed even after the last fetch, so the next one is complete
 	storeLost    bool      // this VM's last call to the store failed; only for the log
+
+	eraRaised chan struct{} // the store has returned from an older copy, so this VM must register again
 }
 
 func newFollower(g *Gateway, store *platform.Store) *follower {
-	return &follower{g: g, store: store, started: time.Now(), catalog: catalog.New()}
+	return &follower{g: g, store: store, started: time.Now(), catalog: catalog.New(), eraRaised: make(chan struct{}, 1)}
 }
 
 // loadInitial reads the store until this VM has a configuration, from the store or
@@ -107,15 +109,16 @@
 // It reports whether the store answered.
 func (f *follower) readChanges(ctx context.Context, wait time.Duration) bool {
 	f.mu.Lock()
-	after := f.catalog.Revision()
+	f.enterEra(f.store.Era(), sourceStore)
+	era, after, list := f.catalog.Era(), f.catalog.Revision(), f.catalog.NeedsListing()
 	f.mu.Unlock()
-	if after == 0 {
+	if list {
 		return f.readAll(ctx)
 	}
 	started := time.Now()
 	call, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	items, revision, err := f.store.Watch(call, "", after, wait)
+	items, revision, err := f.store.Watch(call, "", era, after, wait)
 	if errs.KindOf(err) == errs.NotFound {
 		f.g.log.Info("store has dropped its history of changes; reading all items", zap.Uint64("after", after))
 		return f.readAll(ctx)
@@ -128,10 +131,15 @@
 		f.markStoreFailed(ctx, started, err)
 		return false
 	}
-	f.markStoreReachable()
 	f.mu.Lock()
-	effect := f.catalog.Apply(time.Now(), f.decodeItems(items))
+	if !f.acceptEra(era, sourceStore) {
+		f.mu.Unlock()
+		return true
+	}
+	f.markStoreReachable()
+	effect := f.catalog.ApplyEvents(time.Now(), f.decodeItems(items))
 	f.catalog.MarkSynced(started, revision)
+	effect = effect.With(f.markRead())
 	f.mu.Unlock()
 	f.apply(effect, sourceStore)
 	if len(effect.Forward) > 0 {
@@ -148,13 +156,19 @@
 		f.markStoreFailed(ctx, started, err)
 		return false
 	}
-	f.markStoreReachable()
 	f.mu.Lock()
+	if !f.acceptEra(snapshot.Era, sourceStore) {
+		f.mu.Unlock()
+		return true
+	}
+	f.markStoreReachable()
+	unverified := f.catalog.Config() == nil && snapshot.Era > 0 // may be an older copy, which the other VMs would take for writes of this era
 	effect := f.catalog.Replace(time.Now(), f.decodeItems(snapshot.Items), snapshot.Revision)
 	f.catalog.MarkSynced(started, snapshot.Revision)
+	effect = effect.With(f.markRead())
 	f.mu.Unlock()
 	f.apply(effect, sourceStore)
-	if len(effect.Forward) > 0 {
+	if len(effect.Forward) > 0 && !unverified {
 		f.propagate(effect.Forward)
 	}
 	return true
@@ -174,10 +188,8 @@
 	}
 }
 
-// markStoreReachable records that the store answered a call of this VM.
+// markStoreReachable records that the store answered a call of this VM. The caller holds mu.
 func (f *follower) markStoreReachable() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.markStoreUp(time.Now(), sourceStore)
 	if f.storeLost {
 		f.storeLost = false
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"lacewingmount.dev/membership"
 	"lacewingmount.dev/platform"
 	"lacewingmount.dev/platform/platformtest"
 )
@@ -172,3 +174,37 @@
 		})
 	})
 }
+
+// Guards against VMs that have not heard of the store's return and pull the others back, and
+// against updates of earlier versions that cannot be decoded.
+func TestUpdatesOfAnOlderEraAreDropped(t *testing.T) {
+	t.Parallel()
+	g := fuzzGateway(t)
+	from := membership.Member{Name: "vm-2", Address: "127.0.0.1:9"}
+	gone := changeList{{Key: platform.ServersPrefix + "s", Revision: 9, Removed: true}}
+	g.follower.onMessage(t.Context(), from, &update{Era: 3, Revision: 1})
+	g.follower.onMessage(t.Context(), from, &update{Era: 2, Revision: 1 << 40, Changes: gone, Settled: true})
+	if c := g.follower.catalog; c.Era() != 3 || c.Revision() >= 1<<40 || len(c.Servers(time.Now())["svc"]) != 1 || g.follower.store.Era() != 3 {
+		t.Errorf("era %d, revision %d, servers %+v", c.Era(), c.Revision(), c.Servers(time.Now()))
+	}
+	g.follower.onMessage(t.Context(), from, &update{Era: 3, Revision: 9, Changes: gone})
+	if servers := g.follower.catalog.Servers(time.Now())["svc"]; len(servers) != 0 {
+		t.Errorf("an update of the present era with a low revision was not applied: %+v", servers)
+	}
+	earlier := struct {
+		Age      time.Duration
+		Revision uint64
+		Digest   uint64
+		Changes  changeList
+		Whole    bool
+		Origin   string
+	}{Revision: 7, Changes: gone, Origin: "vm-2"}
+	content, err := encodeBody(&earlier)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded update
+	if err := newDecoder(bytes.NewReader(content)).Decode(&decoded); err != nil || decoded.Revision != 7 || decoded.Origin != "vm-2" || decoded.Era != 0 {
+		t.Errorf("an update of an earlier version is decoded as %+v, %v", decoded, err)
+	}
+}
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -46,6 +46,8 @@
 		Changes  changeList
 		Whole    bool   // whether Changes are the complete contents
 		Origin   string // VM that read the store, if receivers must relay the message; else ""
+		Era      uint64 // of the store that has the revisions; 0 from earlier versions
+		Settled  bool   // whether the sender holds no items of an earlier era
 	}
 
 	placementRequest struct {
@@ -125,6 +127,9 @@
 	return decodeFields(decoder, m)
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *update) DecodeMsgpack(decoder *msgpack.Decoder) error { return decodeFields(decoder, m) }
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (m *take) DecodeMsgpack(decoder *msgpack.Decoder) error { return decodeFields(decoder, m) }
 
--- a/gateway/nested_test.go
+++ b/gateway/nested_test.go
@@ -65,7 +65,7 @@
 	contents := compressTightly(t, []byte("\x81\xa1x"+strings.Repeat("\x91", maxContents-100)))
 	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(contents) }))
 	defer vm.Close()
-	if _, err := fetchContents(t.Context(), vm.Client(), strings.TrimPrefix(vm.URL, "http://"), 0); err == nil {
+	if _, err := fetchContents(t.Context(), vm.Client(), strings.TrimPrefix(vm.URL, "http://"), 0, 0); err == nil {
 		t.Error("the contents are accepted")
 	}
 }
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -34,7 +34,7 @@
 // network links of this VM.
 func (f *follower) propagate(changes []catalog.Change) {
 	f.mu.Lock()
-	message := &update{Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes}
+	message := f.describe(changes)
 	f.mu.Unlock()
 	members := f.g.peers.all()
 	if len(changes) > 0 && len(members) > maxDirectMembers {
@@ -48,6 +48,14 @@
 	}
 }
 
+// describe returns a message with the changes and the state of the catalog. The caller holds mu.
+func (f *follower) describe(changes []catalog.Change) *update {
+	return &update{
+		Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes,
+		Era: f.catalog.Era(), Settled: f.catalog.Settled(),
+	}
+}
+
 // relay forwards an update to the children of this VM in the tree.
 func (f *follower) relay(message *update) {
 	for _, member := range children(f.g.peers.all(), message.Origin, f.g.self.Name) {
@@ -109,12 +117,19 @@
 func (f *follower) onMessage(ctx context.Context, from membership.Member, message *update) {
 	now := time.Now()
 	f.mu.Lock()
+	if !f.acceptEra(message.Era, from.Name) {
+		f.mu.Unlock()
+		return
+	}
 	f.markStoreUp(now.Add(-max(0, message.Age)), from.Name)
 	effect := f.catalog.Apply(now, message.Changes)
 	mustRelay := message.Origin != "" && len(effect.Forward) > 0
 	same := f.catalog.Digest() == message.Digest
 	if same {
 		f.catalog.MarkSynced(now.Add(-message.Age), message.Revision)
+		if message.Settled {
+			f.catalog.MarkSettled(now, message.Revision)
+		}
 	}
 	if same {
 		f.differsSince = time.Time{}
@@ -143,21 +158,25 @@
 	defer cancel()
 	started := time.Now()
 	f.mu.Lock()
-	since := f.catalog.Revision()
+	since, era := f.catalog.Revision(), f.catalog.Era()
 	if f.fetchAll {
 		since = 0
 	}
 	f.mu.Unlock()
-	contents, err := fetchContents(call, f.g.client, from.Address, since)
+	contents, err := fetchContents(call, f.g.client, from.Address, since, era)
 	if err != nil {
 		f.g.log.Warn("contents not fetched", zap.String("from", from.Name), zap.Error(err))
 		return
 	}
 	f.mu.Lock()
+	if !f.acceptEra(contents.Era, from.Name) {
+		f.mu.Unlock()
+		return
+	}
 	f.markStoreUp(started.Add(-max(0, contents.Age)), from.Name)
 	var effect catalog.Effect
 	if contents.Whole {
-		effect = f.catalog.Replace(time.Now(), contents.Changes, contents.Revision+1)
+		effect = f.catalog.ReplaceFromVM(time.Now(), contents.Changes, contents.Revision, contents.Settled)
 	} else {
 		effect = f.catalog.Apply(time.Now(), contents.Changes)
 	}
@@ -165,14 +184,17 @@
 	if !f.fetchAll || contents.Whole {
 		f.catalog.MarkSynced(started.Add(-contents.Age), contents.Revision)
 	}
+	if !f.fetchAll && contents.Settled {
+		f.catalog.MarkSettled(time.Now(), contents.Revision)
+	}
 	f.mu.Unlock()
 	f.g.log.Info("contents fetched", zap.String("from", from.Name), zap.Uint64("since", since), zap.Int("items", len(contents.Changes)),
 		zap.Int("changed", len(effect.Forward)), zap.Uint64("revision", contents.Revision), zap.Duration("age", contents.Age))
 	f.apply(effect, from.Name)
 }
 
-func fetchContents(ctx context.Context, client *http.Client, address string, since uint64) (*update, error) {
-	address = "http://" + address + contentsPath + "?since=" + strconv.FormatUint(since, 10)
+func fetchContents(ctx context.Context, client *http.Client, address string, since, era uint64) (*update, error) {
+	address = "http://" + address + contentsPath + "?since=" + strconv.FormatUint(since, 10) + "&era=" + strconv.FormatUint(era, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, err
@@ -189,7 +211,7 @@
 	return &contents, nil
 }
 
-// serveContents serves the catalog's changes after the revision since, compressed, to
+// serveContents serves the catalog's changes after the revision since of an era, compressed, to
 // another VM.
 func (f *follower) serveContents(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
@@ -197,9 +219,14 @@
 		http.Error(w, "since must be a revision", http.StatusBadRequest)
 		return
 	}
+	era, _ := strconv.ParseUint(r.URL.Query().Get("era"), 10, 64) // absent from earlier versions
 	f.mu.Lock()
+	if era != f.catalog.Era() {
+		since = 0
+	}
 	changes, whole := f.catalog.Changes(time.Now(), since)
-	message := &update{Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes, Whole: whole}
+	message := f.describe(changes)
+	message.Whole = whole
 	f.mu.Unlock()
 	content, err := encodeBody(message)
 	if err == nil {
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	vmsPrefix                 = "lacewingmount/vms/" // prefix of the keys of registered VMs
-	leaseTTL                  = 30 * time.Second     // of a VM's registration; whether a VM is alive is learned from messages
-	leaseRenewInterval        = 9 * time.Second      // three renewals fit into leaseTTL
-	startAnnouncements        = 3                    // messages in which a starting VM announces itself; datagrams can be lost
+	vmsPrefix                 = "lacewingmount/vms/"   // prefix of the keys of registered VMs
+	leaseTTL                  = 30 * time.Second       // of a VM's registration; whether a VM is alive is learned from messages
+	leaseRenewInterval        = 9 * time.Second        // three renewals fit into leaseTTL
+	maxRegistrationJitter     = 300 * time.Millisecond // before all VMs register again, after the store has returned from an older copy
+	startAnnouncements        = 3                      // messages in which a starting VM announces itself; datagrams can be lost
 	startAnnouncementInterval = 150 * time.Millisecond
 )
 
@@ -39,37 +40,61 @@
 // register keeps this VM registered in the store until ctx ends, and then removes the
 // registration.
 func (f *follower) register(ctx context.Context) {
-	var lease uint64
+	var held lease
 	for ctx.Err() == nil {
-		err := f.renewRegistration(ctx, &lease)
+		err := f.renewRegistration(ctx, &held)
+		f.noteEra()
+		if held.number != 0 && held.era != f.store.Era() {
+			continue // the renewal showed that the store has returned from an older copy
+		}
 		if err != nil {
 			sleep(ctx, storeRetryDelay+time.Duration(rand.Int64N(int64(time.Second)))) // jitter: an outage affects all VMs at the same time
 			continue
 		}
-		sleep(ctx, leaseRenewInterval)
+		f.sleepUntilRenewal(ctx)
 	}
-	if lease != 0 {
+	if held.number != 0 && held.era == f.store.Era() { // in another era the number may be another holder's
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 		defer cancel()
-		if err := f.store.EndLease(call, lease); err != nil {
+		if err := f.store.EndLease(call, held.number); err != nil {
 			f.g.log.Warn("registration not removed", zap.Error(err))
 		}
 	}
 }
 
+// lease is the lease of this VM's registration. Its number has a meaning only in its era.
+type lease struct {
+	number uint64 // 0 for none
+	era    uint64
+}
+
+// sleepUntilRenewal waits until the lease must be renewed, or the store has returned from an
+// older copy, which may lack the registration.
+func (f *follower) sleepUntilRenewal(ctx context.Context) {
+	timer := time.NewTimer(leaseRenewInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-f.eraRaised:
+		sleep(ctx, rand.N(maxRegistrationJitter))
+	}
+}
+
 // renewRegistration renews the lease, or registers again under a new lease if there
-// is none or it has expired.
-func (f *follower) renewRegistration(ctx context.Context, lease *uint64) error {
+// is none, it has expired or is of an earlier era.
+func (f *follower) renewRegistration(ctx context.Context, held *lease) error {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if *lease != 0 {
-		err := f.store.RenewLease(call, *lease)
+	era := f.store.Era() // if it rises during the calls, the lease counts as one of the earlier era
+	if held.number != 0 && held.era == era {
+		err := f.store.RenewLease(call, held.number)
 		if errs.KindOf(err) != errs.NotFound {
 			return err
 		}
-		*lease = 0
 		f.g.log.Warn("registration expired; registering again")
 	}
+	*held = lease{}
 	granted, err := f.store.GrantLease(call, leaseTTL)
 	if err != nil {
 		return err
@@ -81,7 +106,7 @@
 	if err := f.store.Put(call, vmsPrefix+f.g.self.Name, value, granted); err != nil {
 		return err
 	}
-	*lease = granted
+	*held = lease{number: granted, era: era}
 	f.g.log.Info("registered", zap.Uint64("lease", granted))
 	return nil
 }
