catalog, gateway: VMs without memory, and readers that take turns, end up right

Cause: trials of the catalog with lost messages and restarts showed three faults: a VM without memory held an evacuation that its own listing had; a reader that took over again missed a write that another VM had read; a VM without memory that reads did not fetch from others. Change: held evacuations do not replace listed ones; a VM that holds items reads from where its own last read ended; a VM without memory fetches whatever the sender's revision.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -18,8 +18,10 @@
 // VM or another one has read the store for restoreGrace.
 type restore struct {
 	era       uint64
-	holding   bool // items may be held, or only known from the first listing
-	listed    bool // the store has been listed in this era
+	holding   bool   // items may be held, or only known from the first listing
+	remembers bool   // items were known when the era was entered
+	listed    bool   // the store has been listed in this era
+	readTo    uint64 // revision up to which this VM itself has read the store in this era
 	since     time.Time
 	lastRead  time.Time
 	sightings map[string]uint64 // revisions of held items in the first listing, which may be the copy's
@@ -42,6 +44,7 @@
 		i.held, i.listedOnly, i.Revision, i.contentRevision = true, false, 0, 0
 	}
 	c.restore.holding = len(c.items) > 0
+	c.restore.remembers = c.restore.holding
 	return true, c.restore.holding
 }
 
@@ -50,6 +53,19 @@
 	return c.revision == 0 || c.restore.holding && !c.restore.listed
 }
 
+// ReadFrom returns the revision after which this VM must read the store. While items are held,
+// what other VMs have read does not count, as they do not forward all writes.
+func (c *Catalog) ReadFrom() uint64 {
+	if c.restore.holding {
+		return c.restore.readTo
+	}
+	return c.revision
+}
+
+// LacksMemory reports whether this VM has items merely from its first listing of the store, and
+// knew none in an earlier era, as after a start.
+func (c *Catalog) LacksMemory() bool { return c.restore.holding && !c.restore.remembers }
+
 // Settled reports whether no item is held.
 func (c *Catalog) Settled() bool { return !c.restore.holding }
 
@@ -143,8 +159,10 @@
 		return false
 	case change.Server != nil && known.Server != nil:
 		return isLater(change.Server, known.Server)
+	case change.VM != nil && known.VM != nil:
+		return change.VM.Incarnation > known.VM.Incarnation
 	}
-	return !known.held
+	return false // an evacuation that is listed needs no other VM that holds it
 }
 
 // ApplyEvents applies changes that a watch of the store has returned. The removal of a server or
@@ -174,12 +192,13 @@
 	return c.Apply(now, contents)
 }
 
-// MarkRead records that this VM has applied the store's changes. After restoreGrace of such
+// MarkRead records that this VM has read and applied all changes up to the revision. After restoreGrace of such
 // reads it removes the items that are still held, which the store does not have or only as in
 // the older copy.
-func (c *Catalog) MarkRead(now time.Time) Effect {
+func (c *Catalog) MarkRead(now time.Time, revision uint64) Effect {
 	var effect Effect
 	r := &c.restore
+	r.readTo = revision
 	if !r.holding {
 		return effect
 	}
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -65,7 +65,7 @@
 // read lets a catalog read the store each 350 ms from one time to another.
 func read(c *Catalog, from, to time.Duration, events ...Change) (last Effect) {
 	for at := from; at <= to; at += 350 * time.Millisecond {
-		last = c.ApplyEvents(start.Add(at), slices.Clone(events)).With(c.MarkRead(start.Add(at)))
+		last = c.ApplyEvents(start.Add(at), slices.Clone(events)).With(c.MarkRead(start.Add(at), c.Revision()))
 	}
 	return last
 }
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -110,7 +110,7 @@
 func (f *follower) readChanges(ctx context.Context, wait time.Duration) bool {
 	f.mu.Lock()
 	f.enterEra(f.store.Era(), sourceStore)
-	era, after, list := f.catalog.Era(), f.catalog.Revision(), f.catalog.NeedsListing()
+	era, after, list := f.catalog.Era(), f.catalog.ReadFrom(), f.catalog.NeedsListing()
 	f.mu.Unlock()
 	if list {
 		return f.readAll(ctx)
@@ -139,7 +139,7 @@
 	f.markStoreReachable()
 	effect := f.catalog.ApplyEvents(time.Now(), f.decodeItems(items))
 	f.catalog.MarkSynced(started, revision)
-	effect = effect.With(f.markRead())
+	effect = effect.With(f.markRead(revision))
 	f.mu.Unlock()
 	f.apply(effect, sourceStore)
 	if len(effect.Forward) > 0 {
@@ -165,7 +165,7 @@
 	unverified := f.catalog.Config() == nil && snapshot.Era > 0 // may be an older copy, which the other VMs would take for writes of this era
 	effect := f.catalog.Replace(time.Now(), f.decodeItems(snapshot.Items), snapshot.Revision)
 	f.catalog.MarkSynced(started, snapshot.Revision)
-	effect = effect.With(f.markRead())
+	effect = effect.With(f.markRead(snapshot.Revision))
 	f.mu.Unlock()
 	f.apply(effect, sourceStore)
 	if len(effect.Forward) > 0 && !unverified {
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -46,10 +46,11 @@
 	}
 }
 
-// markRead records that the store's changes have been applied. The caller holds mu.
-func (f *follower) markRead() catalog.Effect {
+// markRead records that the store's changes up to the revision have been applied. The caller
+// holds mu.
+func (f *follower) markRead(revision uint64) catalog.Effect {
 	before := f.catalog.Settled()
-	effect := f.catalog.MarkRead(f.g.now())
+	effect := f.catalog.MarkRead(f.g.now(), revision)
 	if !before && f.catalog.Settled() {
 		removed := make([]string, 0, len(effect.Forward))
 		for _, change := range effect.Forward {
--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -19,14 +19,15 @@
 )
 
 const (
-	fetchDelay       = 250 * time.Millisecond // before a fetch; changes may still arrive through the tree
-	maxDirectMembers = 16                     // with more members, changes are sent along a tree
-	treeWidth        = 6                      // members per node; three levels reach 258 VMs of a zone
-	zoneRoots        = 2                      // VMs of each other zone to which the origin of an update sends it
-	minFetchInterval = 200 * time.Millisecond // between fetches from other VMs
-	fetchTimeout     = 500 * time.Millisecond
-	maxContents      = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
-	contentsPath     = "/contents" // HTTP path of a VM's catalog contents
+	fetchDelay           = 250 * time.Millisecond // before a fetch; changes may still arrive through the tree
+	maxDirectMembers     = 16                     // with more members, changes are sent along a tree
+	treeWidth            = 6                      // members per node; three levels reach 258 VMs of a zone
+	zoneRoots            = 2                      // VMs of each other zone to which the origin of an update sends it
+	minFetchInterval     = 200 * time.Millisecond // between fetches from other VMs
+	holdingFetchInterval = 2 * time.Second        // the same while items are held: digests may differ until that is settled, and each fetch gets everything
+	fetchTimeout         = 500 * time.Millisecond
+	maxContents          = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
+	contentsPath         = "/contents" // HTTP path of a VM's catalog contents
 )
 
 // propagate sends the other VMs the changes, with the revision, digest and age of this
@@ -136,7 +137,8 @@
 	} else if f.differsSince.IsZero() {
 		f.differsSince = now
 	}
-	fetch := !same && message.Revision >= f.catalog.Revision() && now.Sub(f.lastFetch) > minFetchInterval && now.Sub(f.differsSince) >= fetchDelay
+	// A VM without memory that reads the store has the highest revision, but not what the others hold.
+	fetch := !same && (message.Revision >= f.catalog.Revision() || f.catalog.LacksMemory()) && now.Sub(f.lastFetch) > f.fetchInterval() && now.Sub(f.differsSince) >= fetchDelay
 	if fetch {
 		f.lastFetch = now
 	}
@@ -150,6 +152,14 @@
 	}
 }
 
+// fetchInterval returns the time between fetches. The caller holds mu.
+func (f *follower) fetchInterval() time.Duration {
+	if f.catalog.Settled() || f.catalog.LacksMemory() {
+		return minFetchInterval
+	}
+	return holdingFetchInterval
+}
+
 // fetch applies the contents of another VM's catalog: the changes after this VM's
 // revision, or everything if the digests still differed after the last fetch.
 func (f *follower) fetch(ctx context.Context, from membership.Member) {
@@ -159,7 +169,7 @@
 	started := time.Now()
 	f.mu.Lock()
 	since, era := f.catalog.Revision(), f.catalog.Era()
-	if f.fetchAll {
+	if f.fetchAll || !f.catalog.Settled() {
 		since = 0
 	}
 	f.mu.Unlock()
