--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -108,6 +108,9 @@
 	c.MarkSynced(start, 31)
 	written := []Change{config(5, 32), beat("draining", 33, 1, false), beat("left", 34, 21, false), {Key: platform.EvacuatePrefix + "kept", Revision: 35, Removed: true}}
 	read(c, 0, 0, written...)
+	if c.MarkSynced(start, 99); c.ReadFrom() != 31 {
+		t.Errorf("after an update of another VM, this VM reads from %d on and may miss a write", c.ReadFrom())
+	}
 	if c.Config().Version != 5 || !slices.Equal(c.EvacuatedZones(), []string{"set"}) || len(c.Servers(start)["a"]) != 4 {
 		t.Errorf("version %d, zones %q, servers %+v", c.Config().Version, c.EvacuatedZones(), c.Servers(start))
 	}
@@ -142,6 +145,9 @@
 	if fresh.ReplaceFromVM(start, contents, 30, c.Settled()); len(wrongAfter(fresh)) > 0 || fresh.Digest() != c.Digest() {
 		t.Errorf("the VM without memory does not know %q; the digests are equal: %t", wrongAfter(fresh), fresh.Digest() == c.Digest())
 	}
+	if fresh.items[platform.EvacuatePrefix+"kept"].held || !fresh.LacksMemory() || c.LacksMemory() {
+		t.Error("an evacuation that the store lists would end when it is settled, or the wrong VM lacks memory")
+	}
 	// Another VM settles; both learn it by its digest, and the copy does not return afterwards.
 	for _, vm := range []*Catalog{c, fresh} {
 		vm.MarkSettled(start, 40)
