--- a/gateway/propagate.go
+++ b/gateway/propagate.go
@@ -19,14 +19,15 @@
 )
 
 const (
-	fetchDelay       = 250 * time.Millisecond // before a fetch; changes may still arrive through the tree
-	maxDirectMembers = 16                     // with more members, changes are sent along a tree
-	treeWidth        = 6                      // members per node; three levels reach 258 VMs of a zone
-	zoneRoots        = 2                      // VMs of each other zone to which the origin of an update sends it
-	minFetchInterval = 200 * time.Millisecond // between fetches from other VMs
-	fetchTimeout     = 500 * time.Millisecond
-	maxContents      = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
-	contentsPath     = "/contents" // HTTP path of a VM's catalog contents
+	fetchDelay           = 250 * time.Millisecond // before a fetch; changes may still arrive through the tree
+	maxDirectMembers     = 16                     // with more members, changes are sent along a tree
+	treeWidth            = 6                      // members per node; three levels reach 258 VMs of a zone
+	zoneRoots            = 2                      // VMs of each other zone to which the origin of an update sends it
+	minFetchInterval     = 200 * time.Millisecond // between fetches from other VMs
+	holdingFetchInterval = 2 * time.Second        // the same while items are held: digests may differ until that is settled, and each fetch gets everything
+	fetchTimeout         = 500 * time.Millisecond
+	maxContents          = 32 << 20    // bytes of another VM's catalog after decompression; 12,000 servers take about 3 MB
+	contentsPath         = "/contents" // HTTP path of a VM's catalog contents
 )
 
 // propagate sends the other VMs the changes, with the revision, digest and age of this
@@ -34,7 +35,7 @@
 // network links of this VM.
 func (f *follower) propagate(changes []catalog.Change) {
 	f.mu.Lock()
-	message := &update{Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes}
+	message := f.describe(changes)
 	f.mu.Unlock()
 	members := f.g.peers.all()
 	if len(changes) > 0 && len(members) > maxDirectMembers {
@@ -48,6 +49,14 @@
 	}
 }
 
+// describe returns a message with the changes and the state of the catalog. The caller holds mu.
+func (f *follower) describe(changes []catalog.Change) *update {
+	return &update{
+		Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes,
+		Era: f.catalog.Era(), Settled: f.catalog.Settled(),
+	}
+}
+
 // relay forwards an update to the children of this VM in the tree.
 func (f *follower) relay(message *update) {
 	for _, member := range children(f.g.peers.all(), message.Origin, f.g.self.Name) {
@@ -109,19 +118,27 @@
 func (f *follower) onMessage(ctx context.Context, from membership.Member, message *update) {
 	now := time.Now()
 	f.mu.Lock()
+	if !f.acceptEra(message.Era, from.Name) {
+		f.mu.Unlock()
+		return
+	}
 	f.markStoreUp(now.Add(-max(0, message.Age)), from.Name)
 	effect := f.catalog.Apply(now, message.Changes)
 	mustRelay := message.Origin != "" && len(effect.Forward) > 0
 	same := f.catalog.Digest() == message.Digest
 	if same {
 		f.catalog.MarkSynced(now.Add(-message.Age), message.Revision)
+		if message.Settled {
+			f.catalog.MarkSettled(now, message.Revision)
+		}
 	}
 	if same {
 		f.differsSince = time.Time{}
 	} else if f.differsSince.IsZero() {
 		f.differsSince = now
 	}
-	fetch := !same && message.Revision >= f.catalog.Revision() && now.Sub(f.lastFetch) > minFetchInterval && now.Sub(f.differsSince) >= fetchDelay
+	// A VM without memory that reads the store has the highest revision, but not what the others hold.
+	fetch := !same && (message.Revision >= f.catalog.Revision() || f.catalog.LacksMemory()) && now.Sub(f.lastFetch) > f.fetchInterval() && now.Sub(f.differsSince) >= fetchDelay
 	if fetch {
 		f.lastFetch = now
 	}
@@ -135,6 +152,14 @@
 	}
 }
 
+// fetchInterval returns the time between fetches. The caller holds mu.
+func (f *follower) fetchInterval() time.Duration {
+	if f.catalog.Settled() || f.catalog.LacksMemory() {
+		return minFetchInterval
+	}
+	return holdingFetchInterval
+}
+
 // fetch applies the contents of another VM's catalog: the changes after this VM's
 // revision, or everything if the digests still differed after the last fetch.
 func (f *follower) fetch(ctx context.Context, from membership.Member) {
@@ -143,21 +168,25 @@
 	defer cancel()
 	started := time.Now()
 	f.mu.Lock()
-	since := f.catalog.Revision()
-	if f.fetchAll {
+	since, era := f.catalog.Revision(), f.catalog.Era()
+	if f.fetchAll || !f.catalog.Settled() {
 		since = 0
 	}
 	f.mu.Unlock()
-	contents, err := fetchContents(call, f.g.client, from.Address, since)
+	contents, err := fetchContents(call, f.g.client, from.Address, since, era)
 	if err != nil {
 		f.g.log.Warn("contents not fetched", zap.String("from", from.Name), zap.Error(err))
 		return
 	}
 	f.mu.Lock()
+	if !f.acceptEra(contents.Era, from.Name) {
+		f.mu.Unlock()
+		return
+	}
 	f.markStoreUp(started.Add(-max(0, contents.Age)), from.Name)
 	var effect catalog.Effect
 	if contents.Whole {
-		effect = f.catalog.Replace(time.Now(), contents.Changes, contents.Revision+1)
+		effect = f.catalog.ReplaceFromVM(time.Now(), contents.Changes, contents.Revision, contents.Settled)
 	} else {
 		effect = f.catalog.Apply(time.Now(), contents.Changes)
 	}
@@ -165,14 +194,17 @@
 	if !f.fetchAll || contents.Whole {
 		f.catalog.MarkSynced(started.Add(-contents.Age), contents.Revision)
 	}
+	if !f.fetchAll && contents.Settled {
+		f.catalog.MarkSettled(time.Now(), contents.Revision)
+	}
 	f.mu.Unlock()
 	f.g.log.Info("contents fetched", zap.String("from", from.Name), zap.Uint64("since", since), zap.Int("items", len(contents.Changes)),
 		zap.Int("changed", len(effect.Forward)), zap.Uint64("revision", contents.Revision), zap.Duration("age", contents.Age))
 	f.apply(effect, from.Name)
 }
 
-func fetchContents(ctx context.Context, client *http.Client, address string, since uint64) (*update, error) {
-	address = "http://" + address + contentsPath + "?since=" + strconv.FormatUint(since, 10)
+func fetchContents(ctx context.Context, client *http.Client, address string, since, era uint64) (*update, error) {
+	address = "http://" + address + contentsPath + "?since=" + strconv.FormatUint(since, 10) + "&era=" + strconv.FormatUint(era, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, err
@@ -189,7 +221,7 @@
 	return &contents, nil
 }
 
-// serveContents serves the catalog's changes after the revision since, compressed, to
+// serveContents serves the catalog's changes after the revision since of an era, compressed, to
 // another VM.
 func (f *follower) serveContents(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
@@ -197,9 +229,14 @@
 		http.Error(w, "since must be a revision", http.StatusBadRequest)
 		return
 	}
+	era, _ := strconv.ParseUint(r.URL.Query().Get("era"), 10, 64) // absent from earlier versions
 	f.mu.Lock()
+	if era != f.catalog.Era() {
+		since = 0
+	}
 	changes, whole := f.catalog.Changes(time.Now(), since)
-	message := &update{Age: f.catalog.Age(time.Now()), Revision: f.catalog.Revision(), Digest: f.catalog.Digest(), Changes: changes, Whole: whole}
+	message := f.describe(changes)
+	message.Whole = whole
 	f.mu.Unlock()
 	content, err := encodeBody(message)
 	if err == nil {
