--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -29,7 +29,7 @@
 		tried, only := plan.choices(q.g.isRegistered)
 		slotRequest := placement.Request{
 			ID: placement.RequestID{VM: q.g.self.Name, Seq: q.g.nextSeq()}, Zone: q.g.self.Zone, Safe: q.route.Safe,
-			Priority: rank.Account, RouteRank: rank.Route, Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: q.outbound.body.length, Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(), Route: routeHash(q.route.Name),
+			Priority: rank.Account, RouteRank: rank.Route, Left: left, Target: q.route.Target - time.Since(q.arrived), Bytes: q.outbound.body.length, Tried: tried, Only: only, Retry: plan.arrivals > 0, Account: q.accountName(),
 		}
 		waiting, endWait := q.waitContext(ctx)
 		decision := q.g.place(waiting, q.service, slotRequest)
@@ -98,10 +98,9 @@
 // to the owner of the service.
 func (q *request) tryServer(ctx context.Context, server platform.Server, decision placementResult) (x *exchange) {
 	seq := decision.ID.Seq
-	class := placement.ClassOf(routeHash(q.route.Name), q.outbound.body.length)
-	q.g.running.add(q.service, seq, server.ID, class)
+	q.g.running.add(q.service, seq, server.ID)
 	if !decision.Local {
-		q.g.localBrokers.recordGrant(q.g.now(), q.service, decision.ID, server.ID, class)
+		q.g.localBrokers.recordGrant(q.g.now(), q.service, decision.ID, server.ID)
 	}
 	header := q.outbound.header.Clone()
 	forwarded := platform.ForwardedHeaders{ServerID: server.ID, Account: q.accountName(), Deadline: time.Until(q.deadline) - answerMargin}
@@ -124,9 +123,8 @@
 		q.g.complete(q.service, seq, decision.Owner, q.g.endingOf(q.service, server, x))
 		q.attempts = append(q.attempts, attempt{x.outcome, requestlog.Attempt{
 			Server: server.ID, Outcome: x.outcome.String(), Took: x.took, Failing: decision.Failing,
-			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused, Limit: decision.Limit, Expected: decision.Expected,
+			Queued: decision.Waited, Owner: decision.Owner, LocalGrant: decision.Local, ReusedConnection: x.reused, Limit: decision.Limit,
 		}})
-		observeEstimate(x.outcome, decision.Expected, x.took)
 	}()
 	x = q.g.backend.attempt(ctx, server, &sent, q.deadline)
 	return x
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,6 @@
 	evacuated    atomic.Pointer[[]string]                   // availability zones that the operators evacuate
 	owned        *brokers                                   // of services owned by this VM
 	localBrokers *brokers                                   // of this VM's requests only, used when an owner does not answer
-	ownerChanges ownerChanges                               // for what new owners are told
 	quotas       *quotas                                    // of accounts owned by this VM
 	localQuotas  *quotas                                    // used when an account's owner does not answer
 	running      *inFlight
@@ -271,7 +270,7 @@
 		}
 		return b.Request(now, placement.Request{
 			ID: placement.RequestID{VM: from.Name, Seq: m.Seq}, Zone: from.Zone, Safe: m.Safe,
-			Priority: m.Priority, RouteRank: routeRankOf(m), Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account, Route: m.Route,
+			Priority: m.Priority, RouteRank: routeRankOf(m), Left: m.Left, Target: m.Target, Bytes: m.Bytes, Tried: m.Tried, Only: m.Only, Retry: m.Retry, Account: m.Account,
 		})
 	})
 	g.sendDecisions(m.Service, decisions)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -17,18 +17,17 @@
 type inFlightRequest struct {
 	server string
 	since  time.Time
-	class  placement.Class
 }
 
 func newInFlight() *inFlight { return &inFlight{services: map[string]map[uint64]inFlightRequest{}} }
 
-func (f *inFlight) add(service string, seq uint64, server string, class placement.Class) {
+func (f *inFlight) add(service string, seq uint64, server string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.services[service] == nil {
 		f.services[service] = map[uint64]inFlightRequest{}
 	}
-	f.services[service][seq] = inFlightRequest{server, time.Now(), class}
+	f.services[service][seq] = inFlightRequest{server, time.Now()}
 }
 
 func (f *inFlight) remove(service string, seq uint64) {
@@ -48,7 +47,7 @@
 			continue
 		}
 		for seq, flight := range flights {
-			running[service] = append(running[service], placement.Running{Seq: seq, Server: flight.server, Age: now.Sub(flight.since), Class: flight.class})
+			running[service] = append(running[service], placement.Running{Seq: seq, Server: flight.server, Age: now.Sub(flight.since)})
 		}
 	}
 	return running
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -66,7 +66,6 @@
 		// RouteRank is the rank of the route; nil from earlier versions, whose requests then
 		// rank by Priority alone.
 		RouteRank *int
-		Route     uint32 // hash of the route's name
 	}
 
 	placementReply struct {
@@ -82,7 +81,6 @@
 		Owner      string   // with NotOwner: the owner in the view of the sender, if it has received a message from that VM recently; else ""
 		Limit      *float64 // requests per second that the server accepts; nil if it names no limit
 		AtLimit    int      // servers that had reached their limits
-		ExpectedMs uint32   // milliseconds until the server's answer as estimated; 0 if nothing is estimated
 	}
 
 	release struct {
@@ -116,7 +114,6 @@
 		Limits      serviceLimits // that the sender knows, unless the receiver has confirmed them
 		LimitDigest uint64        // of the limits in force that the sender knows
 		Groups      groupList     // that the receiver owns in the sender's view; nil from earlier versions
-		Work        serviceWork   // what the sender has learned about the work of requests, for a new owner
 	}
 
 	syncAck struct {
@@ -136,14 +133,6 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (m *take) DecodeMsgpack(decoder *msgpack.Decoder) error { return decodeFields(decoder, m) }
 
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (m *placementReply) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, m)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (m *syncReport) DecodeMsgpack(decoder *msgpack.Decoder) error { return decodeFields(decoder, m) }
-
 // decodeFields decodes a message of any version: fields that an earlier version lacks keep
 // their values, and those that a later version adds are not read. Package msgpack rejects an
 // array whose length is not the number of fields. It suits only a type that ends its datagram.
@@ -215,14 +204,6 @@
 	return decodeByService(decoder, (*map[string][]limitReport)(l))
 }
 
-// serviceWork holds the work of classes of requests by service, with the same checks.
-type serviceWork map[string][]workReport
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (w *serviceWork) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeByService(decoder, (*map[string][]workReport)(w))
-}
-
 // decodeByService decodes lists by service.
 func decodeByService[T any](decoder *msgpack.Decoder, lists *map[string][]T) error {
 	services, err := checkLength(decoder.DecodeMapLen())
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -297,9 +297,9 @@
 }
 
 // recordGrant records a grant of another Broker, so that its request is counted.
-func (b *brokers) recordGrant(now time.Time, service string, id placement.RequestID, server string, class placement.Class) {
+func (b *brokers) recordGrant(now time.Time, service string, id placement.RequestID, server string) {
 	b.withBroker(now, service, func(broker *placement.Broker) []placement.Decision {
-		broker.RecordClassGrant(now, id, server, class)
+		broker.RecordGrant(now, id, server)
 		return nil
 	})
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -193,7 +192,7 @@
 				g.mesh.send(owner.Address, kindPlacementRequest, &placementRequest{
 					Service: service, Seq: r.ID.Seq, Safe: r.Safe, Priority: r.Priority, Left: r.Left, Target: r.Target,
 					Bytes: r.Bytes, Tried: r.Tried, Only: r.Only, Retry: r.Retry, Account: r.Account,
-					Limits: g.unconfirmedLimits(service, owner), RouteRank: &r.RouteRank, Route: r.Route,
+					Limits: g.unconfirmedLimits(service, owner), RouteRank: &r.RouteRank,
 				})
 			}
 			send()
@@ -234,7 +233,6 @@
 				return &placementResult{Owner: r.from, Decision: placement.Decision{
 					ID: slotRequest.ID, Verdict: d.Verdict, Server: d.Server, RetryAfter: d.RetryAfter,
 					Reason: d.Reason, Waited: d.Waited, Queue: d.Queue, Failing: d.Failing, Limit: valueOf(d.Limit), AtLimit: d.AtLimit,
-					Expected: time.Duration(d.ExpectedMs) * time.Millisecond,
 				}}, false
 			}
 		case <-timer.retry.C:
@@ -338,7 +336,6 @@
 		m := &placementReply{
 			Seq: d.ID.Seq, Verdict: d.Verdict, Server: d.Server, RetryAfter: d.RetryAfter,
 			Reason: d.Reason, Waited: d.Waited, Queue: d.Queue, Failing: d.Failing, AtLimit: d.AtLimit,
-			ExpectedMs: uint32(min(math.MaxUint32, max(0, d.Expected.Milliseconds()))),
 		}
 		if d.Limit > 0 {
 			m.Limit = &d.Limit
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -19,7 +19,6 @@
 		}
 		for name, owner := range owned {
 			report := g.syncReport(owner)
-			report.Work = g.workForOwner(owner)
 			if name == g.self.Name {
 				g.handleSync(name, "", report)
 				continue
@@ -56,7 +55,6 @@
 	now := g.now()
 	g.quotas.recordLease(now, from)
 	g.learnLimits(from, m.Limits)
-	g.learnWork(now, m.Work)
 	takenForOwner := func(service string) bool {
 		return m.Groups == nil || slices.Contains(m.Groups, g.peers.groupOf(service))
 	}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -30,7 +30,6 @@
 	inUseFloor      inUseFloor
 	limits          limitTable
 	coldPerS        float64 // requests per second that a cold server gets; 0 for any number
-	work            workEstimate
 	changes         []AvoidanceChange
 	share           failingShare // estimated share of failing servers
 	failurePeriod   failurePeriodEstimate
@@ -44,7 +43,6 @@
 	return &Broker{
 		servers: map[string]*server{}, grants: newGrantTable(), lastContact: map[string]time.Time{}, fairQueue: newFairQueue(),
 		retries: retryLimiter{RetryBudget: policy.Retries}, inUseFloor: inUseFloor{share: policy.MinServers}, share: failingShare{value: initialFailingShare}, failurePeriod: failurePeriodEstimate{value: initialFailurePeriod}, latencyEstimate: newLatencyEstimate(), random: random,
-		work:   newWorkEstimate(),
 		limits: limitTable{limits: map[string]*serverLimit{}, parts: map[string]time.Time{}, random: random},
 	}
 }
@@ -102,9 +100,6 @@
 	b.retries.observeRequest(now)
 	b.inUseFloor.observeRequest(now, request.Safe)
 	r.fair.assignRound(now, r)
-	if r.placedBefore() {
-		r.round = r.fair.currentRound - 1
-	}
 	var decisions []Decision
 	if len(b.limits.limits) > 0 || b.coldPerS > 0 { // time alone lets these servers accept more, and retries wait for it
 		if b.ranks.inForce {
@@ -119,7 +114,7 @@
 			return append(decisions, b.grant(now, r, s))
 		}
 	}
-	if reason, retryAfter := b.rejectionReason(now, r); reason != "" && !(r.placedBefore() && b.canStillServe(now, r)) {
+	if reason, retryAfter := b.rejectionReason(now, r); reason != "" {
 		return append(decisions, b.refuse(now, request.ID, reason, retryAfter))
 	}
 	b.enqueue(now, r)
@@ -156,7 +151,6 @@
 			g.usage.observeWork(took)
 		}
 	}
-	granted := b.grants.get(id)
 	b.release(id)
 	b.countUnserved(now, outcome)
 	if s := b.servers[serverID]; s != nil {
@@ -168,9 +162,6 @@
 		}
 		if outcome == Answered {
 			b.latencyEstimate.observe(took)
-			if granted != nil && granted.server == s {
-				b.work.observe(now, granted.class, s, took, b.latencyEstimate.mean)
-			}
 		}
 	}
 	return b.dispatch(now)
@@ -186,7 +177,7 @@
 		listed[r.Seq] = true
 		id := RequestID{VM: vm, Seq: r.Seq}
 		if s := b.servers[r.Server]; s != nil && b.grants.get(id) == nil {
-			b.assignClass(b.addGrant(id, s, now.Add(-r.Age)), r.Class)
+			b.addGrant(id, s, now.Add(-r.Age))
 		}
 	}
 	for seq, g := range b.grants.ofVM(vm) {
@@ -211,7 +202,6 @@
 		s.markOverdue(now, b.latencyEstimate.overdueLimit())
 	}
 	b.updateRankRule(now)
-	b.work.update(now, b.serversByID)
 	return append(b.expire(now), b.dispatch(now)...)
 }
 
@@ -248,11 +238,7 @@
 	if rate, limited := s.pacedRate(now); limited {
 		decision.Limit = rate
 	}
-	if b.work.inForce {
-		decision.Expected = b.expectedTime(now, s, b.workOf(&r.Request))
-	}
 	g := b.addGrant(r.ID, s, now)
-	b.assignClass(g, r.class())
 	g.spentLimit, g.usage = s.spendLimit(now), r.usage
 	b.countRankGrant(r.usage)
 	return decision
@@ -283,7 +269,6 @@
 func (b *Broker) choose(now time.Time, r *queued, set *candidateSet) *server {
 	tolerance := baseTolerance + tolerancePerSecond*now.Sub(r.queuedAt).Seconds()
 	useNearlyIdle := set.tooFewInUse && !r.Retry && (r.Safe || !set.safeOnly)
-	work := b.workOf(&r.Request)
 	var best, nearlyIdle *server
 	lowestCost, lowestIdleCost := 0.0, 0.0
 	for i := range set.candidates {
@@ -292,9 +277,6 @@
 			continue
 		}
 		cost := c.costFor(now, &r.Request) + costJitter*b.random.Float64()
-		if b.work.inForce {
-			cost += lateness(&r.Request, b.expectedTime(now, c.server, work))
-		}
 		if useNearlyIdle && c.nearlyIdle {
 			idleCost := cost - recoveryCredit*c.health.recovery(now)
 			if nearlyIdle == nil || idleCost < lowestIdleCost {
@@ -345,15 +327,10 @@
 	}
 }
 
-// RecordGrant is RecordClassGrant for a request of unknown class.
+// RecordGrant records the grant of another Broker, so that its request is counted.
 func (b *Broker) RecordGrant(now time.Time, id RequestID, serverID string) {
-	b.RecordClassGrant(now, id, serverID, Class{})
-}
-
-// RecordClassGrant records the grant of another Broker, so that its request is counted.
-func (b *Broker) RecordClassGrant(now time.Time, id RequestID, serverID string, class Class) {
 	b.lastContact[id.VM] = now
 	if s := b.servers[serverID]; s != nil && b.grants.get(id) == nil {
-		b.assignClass(b.addGrant(id, s, now), class)
+		b.addGrant(id, s, now)
 	}
 }
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -55,9 +55,9 @@
 			used++
 		}
 		s.observeRunning(now, b.latencyEstimate.fastFailureLimit())
-		failingProbability := s.unusableProbability(now, b.latencyEstimate.meanLatency(), b.share.value)
+		failingProbability := s.health.failingProbability(now, b.share.value)
 		if withinLimit && s.hasSlot(now, failingProbability) {
-			set.candidates = append(set.candidates, b.newCandidate(now, s, failingProbability, nearlyIdle))
+			set.candidates = append(set.candidates, s.newCandidate(now, failingProbability, b.latencyEstimate.mean, nearlyIdle))
 		}
 	}
 	requiredShare, safeOnly := b.inUseFloor.requiredShare(now)
@@ -66,23 +66,18 @@
 }
 
 // newCandidate computes the costs of the server that are the same for all requests.
-func (b *Broker) newCandidate(now time.Time, s *server, failingProbability float64, nearlyIdle bool) candidate {
-	mean := b.latencyEstimate.mean
+func (s *server) newCandidate(now time.Time, failingProbability, mean float64, nearlyIdle bool) candidate {
 	c := candidate{server: s, failingProbability: failingProbability, nearlyIdle: nearlyIdle}
 	c.requestFailure = failingErrorRate*failingProbability + (1-failingProbability)*s.health.lossRate(now)
 	if s.used.IsZero() && now.Sub(s.joinedAt) > firstRequestWait {
 		c.requestFailure = 0
 	}
-	c.requestFailure += (1 - c.requestFailure) * shedCost * s.shedShare(now)
 	load := float64(len(s.running)+1) / float64(s.Slots)
-	if b.work.inForce {
-		load = b.workLoad(now, s)
-	}
 	c.baseCost = loadCost * load * load * load * load
 	if now.Before(s.warmupUntil) {
 		c.baseCost += warmupCost
 	}
-	if !b.work.inForce && mean > 0 && s.latency > slowThreshold*mean {
+	if mean > 0 && s.latency > slowThreshold*mean {
 		c.baseCost += min(maxSlowCost, slowCost*(s.latency/mean-slowThreshold))
 	}
 	return c
--- a/placement/grants.go
+++ b/placement/grants.go
@@ -7,9 +7,7 @@
 	requestID  RequestID
 	server     *server
 	startedAt  time.Time
-	overdue    bool // was already counted as a failure
-	class      Class
-	expected   float64    // seconds until the answer, as estimated at the grant
+	overdue    bool       // was already counted as a failure
 	spentLimit bool       // counts against the server's limit at this Broker
 	usage      *rankUsage // of its rank; nil if another Broker granted it
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,11 +10,9 @@
 	maxDispatchScan    = 32          // queued requests that are examined for a free slot in one dispatch
 	lateWaitShare      = 0.5         // share of the time left that a request may wait if it can no longer meet its target latency
 	lateRefusalDivisor = 8           // a refusal after 1/8 of the target latency comes too late for its caller
-	admitWaitShare     = 0.75        // share of maxWait that the expected wait of a new request may reach; the estimate is off by about a fifth, and some servers fail meanwhile
-	rankedAdmitShare   = 0.85        // the same while the rule of ranks is in force, whose expected wait counts later arrivals of higher ranks
+	admitWaitShare     = 0.85        // share of maxWait that the expected wait of a new request may reach; some servers fail meanwhile
 	earlyWaitShare     = 1.0         // the same for a request that has waited for less than an eighth of its target latency and may lose its place to higher ranks: it can still be served elsewhere
-	expireWaitShare    = 2.0         // multiple of maxWait for which a queued request is held; a late answer is worth more to a caller than a late refusal
-	heldShare          = 0.15        // share of its time limit for which it is held at least; when servers become slow, maxWait falls to nearly 0 for requests that wait
+	expireWaitShare    = 1.25        // multiple of maxWait that the expected wait of a queued request may reach; the estimate is off by about a fifth
 )
 
 // queued is a request that waits for a slot.
@@ -44,14 +42,6 @@
 	return max(0, min(inTime, r.Left-mean))
 }
 
-// heldFor returns how long the request is kept in the queue: beyond maxWait as long as it can be
-// answered before its time limit.
-func (r *queued) heldFor(mean time.Duration) time.Duration {
-	maxWait := r.maxWait(mean)
-	longest := max(expireWaitShare*float64(maxWait), heldShare*float64(r.Left))
-	return max(maxWait, min(time.Duration(longest), r.Left-workMargin*mean))
-}
-
 // precedes orders a queue by rank, then by fair-queueing round, and within a round by
 // arrival.
 func (r *queued) precedes(other *queued) bool {
@@ -118,24 +108,23 @@
 	return decisions
 }
 
-// expire refuses the queued requests that have waited for much longer than their maxWait, and
-// those that are expected to, because other requests were queued before them. One that exceeds
-// it by less may still be answered late.
+// expire refuses the queued requests that have waited for longer than their maxWait,
+// and those that are expected to, because other requests were queued before them.
 func (b *Broker) expire(now time.Time) []Decision {
 	decisions := b.expireRetries(now)
+	mean := b.latencyEstimate.meanLatency()
 	var ahead position
 	var usage *rankUsage
 	expectedWait := b.queueWait(now)
 	b.queue = slices.DeleteFunc(b.queue, func(r *queued) bool {
-		work := b.workOf(&r.Request)
-		waited, held, reason := now.Sub(r.queuedAt), r.heldFor(work), ""
+		waited, maxWait, reason := now.Sub(r.queuedAt), r.maxWait(mean), ""
 		if r.usage != usage {
 			usage, ahead = r.usage, position{higher: ahead.total()}
 		}
 		switch {
-		case waited > held:
+		case waited > maxWait:
 			reason = "waited too long"
-		case waited+expectedWait(r, ahead) > b.longestWait(r, waited, held, r.maxWait(work)):
+		case waited+expectedWait(r, ahead) > time.Duration(b.expireShare(r, waited)*float64(maxWait)):
 			reason = "the queue grew"
 		default:
 			ahead.own++
@@ -154,14 +143,13 @@
 	return decisions
 }
 
-// longestWait returns the expected wait up to which a queued request stays in the queue, given
-// how long it is held at most. One that may lose its place to higher ranks is refused as long
-// as it can still be served elsewhere.
-func (b *Broker) longestWait(r *queued, waited, held, maxWait time.Duration) time.Duration {
+// expireShare returns the multiple of maxWait that the expected wait of a queued request may
+// reach.
+func (b *Broker) expireShare(r *queued, waited time.Duration) float64 {
 	if b.ranks.inForce && r.usage != b.ranks.usages[0] && waited <= r.Target/lateRefusalDivisor {
-		return time.Duration(earlyWaitShare * float64(maxWait))
+		return earlyWaitShare
 	}
-	return held
+	return expireWaitShare
 }
 
 // Reasons to refuse a request.
@@ -192,7 +180,7 @@
 		return b.refusalWithoutServer(now, r, ahead)
 	}
 	wait := b.admissionWait(now, r, ahead)
-	maxWait := time.Duration(b.admitShare() * float64(r.maxWait(b.workOf(&r.Request))))
+	maxWait := time.Duration(admitWaitShare * float64(r.maxWait(b.latencyEstimate.meanLatency())))
 	limitWait := b.limitWait(now, r, ahead.total())
 	switch {
 	case max(wait, limitWait) <= maxWait:
@@ -203,14 +191,6 @@
 	return "the queue is too long", b.retryAfterFor(now, r, ahead)
 }
 
-// admitShare returns the share of maxWait that the expected wait of a new request may reach.
-func (b *Broker) admitShare() float64 {
-	if b.ranks.inForce {
-		return rankedAdmitShare
-	}
-	return admitWaitShare
-}
-
 // limitRetryAfter returns when the caller of a request may try again that waits at least
 // the given time for a server to accept it.
 func limitRetryAfter(wait time.Duration) time.Duration {
--- a/placement/rankroom.go
+++ b/placement/rankroom.go
@@ -22,7 +22,7 @@
 		if !higher.rank.precedes(u.rank) {
 			break
 		}
-		expected += higher.arrivals.perSecond(now) * b.rankWork(higher)
+		expected += higher.arrivals.perSecond(now) * b.workOf(higher)
 		held += higher.held
 	}
 	return expected, held
@@ -44,18 +44,6 @@
 	return wait.share > 0 && wait.slotWait/wait.share <= roomWaitShare*b.higherSlack(u)
 }
 
-// arrivalsAbove returns the first attempts per second of the ranks above the given one.
-func (b *Broker) arrivalsAbove(now time.Time, u *rankUsage) float64 {
-	sum := 0.0
-	for _, higher := range b.ranks.usages {
-		if !higher.rank.precedes(u.rank) {
-			break
-		}
-		sum += higher.arrivals.perSecond(now)
-	}
-	return sum
-}
-
 // higherSlack returns the shortest time that a request of a rank above the given one may
 // wait and still be answered within its target latency, in seconds.
 func (b *Broker) higherSlack(u *rankUsage) float64 {
@@ -64,13 +52,13 @@
 		if !higher.rank.precedes(u.rank) {
 			break
 		}
-		slack = min(slack, higher.target-1.5*b.rankWork(higher)) // as in maxWait
+		slack = min(slack, higher.target-1.5*b.workOf(higher)) // as in maxWait
 	}
 	return max(0, slack)
 }
 
-// rankWork returns the mean work of the requests of a rank, in seconds.
-func (b *Broker) rankWork(u *rankUsage) float64 {
+// workOf returns the mean work of the requests of a rank, in seconds.
+func (b *Broker) workOf(u *rankUsage) float64 {
 	if u.work == 0 {
 		return b.latencyEstimate.mean
 	}
@@ -144,7 +132,7 @@
 func (b *Broker) rankWait(now time.Time, u *rankUsage) rankWait {
 	slotWait := max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
 	minShare := b.ranks.minShare()
-	return rankWait{slotWait: slotWait, share: b.shareLeft(now, u, minShare), minShare: minShare}
+	return rankWait{slotWait: slotWait, share: b.shareLeft(now, u, slotWait, minShare), minShare: minShare}
 }
 
 // perSecond returns how many requests of the rank get a slot each second.
@@ -165,8 +153,8 @@
 // it, and by its account's queued requests.
 func (b *Broker) admissionWait(now time.Time, r *queued, ahead position) time.Duration {
 	if !b.ranks.inForce {
-		perSecond := min(1/minSlotWait.Seconds(), b.slotsPerSecond(now)/b.queueWork())
-		return max(b.expectedWaitBehind(now, r, ahead.total()+1, perSecond), r.fair.wait(now, r.Account, perSecond))
+		perSecond := 1 / max(minSlotWait.Seconds(), b.expectedWait(now, 1).Seconds())
+		return max(b.expectedWait(now, ahead.total()+1), r.fair.wait(now, r.Account, perSecond))
 	}
 	wait := b.rankWait(now, r.usage)
 	ahead.own++
@@ -177,10 +165,7 @@
 // slot that the given others precede. It is fastest if called in the order of the queue.
 func (b *Broker) queueWait(now time.Time) func(*queued, position) time.Duration {
 	if !b.ranks.inForce {
-		perSecond := b.slotsPerSecond(now) / b.queueWork()
-		return func(r *queued, ahead position) time.Duration {
-			return b.expectedWaitBehind(now, r, ahead.total(), perSecond)
-		}
+		return func(_ *queued, ahead position) time.Duration { return b.expectedWait(now, ahead.total()) }
 	}
 	var usage *rankUsage
 	var wait rankWait
@@ -194,11 +179,11 @@
 
 // shareLeft returns the share of the service's capacity that the arrivals of higher ranks and
 // the minimum shares of lower ones leave to a rank; it may be negative.
-func (b *Broker) shareLeft(now time.Time, u *rankUsage, minShare float64) float64 {
-	perSlot := 1 / (b.slotsPerSecond(now) * b.usualWork()) // share of the capacity
+func (b *Broker) shareLeft(now time.Time, u *rankUsage, slotWait, minShare float64) float64 {
+	perSlot := slotWait / b.latencyEstimate.mean // share of the capacity
 	share := 1.0
 	for _, other := range b.ranks.usages {
-		use := other.arrivals.perSecond(now) * b.rankWork(other) * perSlot
+		use := other.arrivals.perSecond(now) * b.workOf(other) * perSlot
 		switch {
 		case other.rank.precedes(u.rank):
 			share -= use
--- a/placement/retryqueue.go
+++ b/placement/retryqueue.go
@@ -64,7 +64,7 @@
 // maxRetryWait returns how long the retry may wait and still be answered before its
 // deadline.
 func (b *Broker) maxRetryWait(r *queued) time.Duration {
-	return max(0, r.Left-workMargin*b.workOf(&r.Request))
+	return max(0, r.Left-workMargin*b.latencyEstimate.meanLatency())
 }
 
 // dispatchRetries grants free slots to the retries that the budget allows. They come
--- a/placement/server.go
+++ b/placement/server.go
@@ -4,7 +4,7 @@
 
 const (
 	latencyWeight      = 0.15                   // weight of the newest answer in a server's mean latency
-	shedBackoff        = 150 * time.Millisecond // unit of the time without grants after a server refused a request
+	shedBackoff        = 150 * time.Millisecond // time without grants after a server refused a request because it was full
 	unreachableBackoff = 3 * time.Second        // time for which a VM that could not connect to a server avoids it
 	overdueFactor      = 1.5                    // multiple of the high latency after which a running request counts as a failure
 	minOverdue         = time.Second            // lower bound of that time; short latencies vary more
@@ -37,14 +37,6 @@
 	connected     map[string]time.Time // time since which a VM has an idle connection, by VM name
 	avoidedUntil  map[string]time.Time // time until which a VM that could not connect avoids the server, by VM name
 	limit         *serverLimit         // nil if the server has named none
-	slowness      float64              // time that it takes for its requests, relative to their work
-	answers       int                  // answers since its start
-	load          workLoad
-	heardAt       time.Time // newest sign that the server can be reached
-	unheard       int       // connections and requests without any answer since then
-	unheardAt     time.Time
-	shed          float64 // share of its requests that it refused, at shedUpdated
-	shedUpdated   time.Time
 }
 
 func newServer(now time.Time, registered Server, failurePeriod *failurePeriodEstimate) *server {
@@ -59,7 +51,6 @@
 	if s.ID == "" || s.Born != registered.Born {
 		s.health, s.latency, s.used, s.joinedAt, s.limit = health{}, 0, time.Time{}, now, nil
 		s.coldUntil, s.returnedAt = time.Time{}, time.Time{}
-		s.heardAt, s.unheard, s.shed, s.slowness, s.answers = now, 0, 0, 1, 0
 		clear(s.connected)
 	}
 	if warmupEnd := now.Add(registered.Cold); registered.Cold != s.Cold {
@@ -98,7 +89,6 @@
 // fastLimit counts as fast.
 func (s *server) observeOutcome(now time.Time, vm string, outcome Outcome, took, fastLimit time.Duration) {
 	s.updateConnected(now, vm, outcome)
-	s.observeContact(now, outcome)
 	switch outcome {
 	case Answered:
 		s.health.observeSuccess(now.Add(-took), s.failurePeriod)
@@ -112,7 +102,7 @@
 			s.health.observeOutcome(now, true)
 		}
 	case Shed:
-		s.fullUntil = now.Add(s.refusalBackoff())
+		s.fullUntil = now.Add(shedBackoff)
 	case Unreachable, Silent:
 		s.backOffPath(now, vm)
 	case Misdirected:
@@ -181,7 +171,6 @@
 		if !g.overdue && now.Sub(g.startedAt) > limit {
 			g.overdue = true
 			s.overdue++
-			s.countUnheard(now)
 			s.backOffPath(now, g.requestID.VM)
 		}
 	}
--- a/placement/types.go
+++ b/placement/types.go
@@ -35,7 +35,6 @@
 	Tried     []string      // IDs of servers that must not get it again
 	Only      []string      // if not empty, IDs of the only servers that may get it
 	Retry     bool          // an earlier attempt reached a server, so this one counts against the retry budget
-	Route     uint32        // hash of the route's name, for the estimate of the request's work; 0 if unknown
 }
 
 // After returns the request as it is when the given time has passed.
@@ -93,7 +92,6 @@
 	Queue      int           // length of the queue at the decision
 	Failing    float64       // granted: probability that the server is failing
 	Limit      float64       // granted: requests per second that the server accepts; 0 if it names no limit
-	Expected   time.Duration // granted: expected time until the server's answer; 0 while all classes of the service cost the same
 	AtLimit    int           // servers that could not get the request because they had reached their limits
 }
 
@@ -102,7 +100,6 @@
 	Seq    uint64
 	Server string
 	Age    time.Duration
-	Class  Class
 }
 
 // AvoidanceChange records that a Broker starts, extends or ends the avoidance of a
--- a/requestlog/attempt.go
+++ b/requestlog/attempt.go
@@ -20,7 +20,6 @@
 	LocalGrant       bool          // granted by the request's own VM, because the service's owner did not answer
 	ReusedConnection bool          // sent on a connection that was used before
 	Limit            float64       // requests per second that the server accepted from all VMs together; 0 if it had named no limit
-	Expected         time.Duration // time until the answer as estimated at the grant; 0 if nothing was estimated
 }
 
 const (
@@ -30,11 +29,10 @@
 	localGrantFlag       = "alone"
 	reusedConnectionFlag = "reused"
 	limitField           = "limit="
-	expectedField        = "expected="
 )
 
 // FormatAttempts formats attempts for a log line, separated by blanks, each as
-// server:outcome:took:failing:queued:home, then alone, reused, limit and expected if they apply.
+// server:outcome:took:failing:queued:home, then alone, reused and limit if they apply.
 func FormatAttempts(attempts []Attempt) string {
 	var text strings.Builder
 	for i, a := range attempts {
@@ -52,9 +50,6 @@
 		if a.Limit > 0 {
 			text.WriteString(":" + limitField + strconv.FormatFloat(a.Limit, 'f', -1, 64))
 		}
-		if a.Expected > 0 {
-			text.WriteString(":" + expectedField + formatMilliseconds(a.Expected))
-		}
 	}
 	return text.String()
 }
@@ -89,16 +84,13 @@
 	attempt.Queued, errQueued = time.ParseDuration(strings.TrimPrefix(parts[4], queuedField))
 	grantedBy, named := strings.CutPrefix(parts[5], grantedByField)
 	attempt.Owner = grantedBy
-	var errLimit, errExpected error
+	var errLimit error
 	for _, flag := range parts[6:] {
 		if limit, ok := strings.CutPrefix(flag, limitField); ok {
 			attempt.Limit, errLimit = strconv.ParseFloat(limit, 64)
 		}
-		if expected, ok := strings.CutPrefix(flag, expectedField); ok {
-			attempt.Expected, errExpected = time.ParseDuration(expected)
-		}
 		attempt.LocalGrant = attempt.LocalGrant || flag == localGrantFlag
 		attempt.ReusedConnection = attempt.ReusedConnection || flag == reusedConnectionFlag
 	}
-	return attempt, errTook == nil && errFailing == nil && errQueued == nil && errLimit == nil && errExpected == nil && named
+	return attempt, errTook == nil && errFailing == nil && errQueued == nil && errLimit == nil && named
 }
--- a/requestlog/explain.go
+++ b/requestlog/explain.go
@@ -159,9 +159,6 @@
 	if a.Limit > 0 {
 		text += ", within the server's limit of " + strconv.FormatFloat(a.Limit, 'f', -1, 64) + " requests a second"
 	}
-	if a.Expected > 0 {
-		text += ", expected to answer after " + a.Expected.String()
-	}
 	if a.Outcome == "answered" {
 		return text
 	}
