gateway: a request that runs early counts on the connection of its caller

Cause: read in the merged code: an early run had no remote address, so the budget for what callers hold took its connection for idle once the requests before it had ended, and could close it for others while the answer was due. Change: the early request has the address of its connection, by which the budget finds it. Measured: the gateway's tests of pipelined requests pass; no test shows the fault, which needs a crowd at that moment.

--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -254,6 +254,7 @@
 			f.plain = false
 			continue
 		}
+		r.RemoteAddr = p.conn.RemoteAddr().String() // the budget knows the connection by it
 		f.run = p.start(r)
 	}
 }
