--- a/review/standin2/budget.go
+++ b/review/standin2/budget.go
@@ -40,7 +40,8 @@
 	done     sync.WaitGroup
 }
 
-func startLoad(f *fleet, clients int, interval time.Duration) *load {
+// startLoad starts clients that each send a request per interval. prefix begins their ids.
+func startLoad(f *fleet, prefix string, clients int, interval time.Duration) *load {
 	l := &load{statuses: map[string]int{}}
 	for i := range clients {
 		l.done.Go(func() {
@@ -48,7 +49,7 @@
 			defer c.close()
 			time.Sleep(time.Duration(i) * interval / time.Duration(clients))
 			for n := 0; !l.stop.Load(); n++ {
-				id := fmt.Sprintf("c%d-%d", i, n)
+				id := fmt.Sprintf("%s%d-%d", prefix, i, n)
 				began := time.Now()
 				l.mu.Lock()
 				l.sent = append(l.sent, sentRequest{id, began})
@@ -108,7 +109,7 @@
 	if err := f.addGateways(4, 284, 4100); err != nil {
 		return failed, err
 	}
-	l := startLoad(f, 40, time.Second)
+	l := startLoad(f, "c", 40, time.Second)
 	time.Sleep(8 * time.Second)
 	first := owner(f)
 	if first == nil {
--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -94,7 +94,7 @@
 	if err := f.addGateways(4, 284, 4100); err != nil {
 		return failed, err
 	}
-	l := startLoad(f, 60, 500*time.Millisecond)
+	l := startLoad(f, "c", 60, 500*time.Millisecond)
 	time.Sleep(8 * time.Second)
 	acknowledged := make([]time.Time, leavers)
 	for i, s := range leaving {
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -28,7 +28,6 @@
 // gateway is one machine of the system with its process.
 type gateway struct {
 	name, ip, boot, log string
-	started             time.Duration
 	mu                  sync.Mutex
 	command             *exec.Cmd
 	inRotation          atomic.Bool
@@ -267,7 +266,7 @@
 	_ = f.record.Close()
 }
 
-// logTail returns the lines of the machine's log that contain all words.
+// logLines returns the lines of the machine's log that contain all words.
 func logLines(g *gateway, words ...string) []string {
 	content, err := os.ReadFile(g.log)
 	if err != nil {
@@ -297,11 +296,10 @@
 
 // result is what a client got for a request.
 type result struct {
-	status  int // 0 if the channel ended
-	signed  bool
-	refused time.Duration
-	body    int
-	err     error
+	status int // 0 if the channel ended
+	signed bool
+	body   int
+	err    error
 }
 
 func (c *client) close() {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,8 +24,9 @@
 
 // cases are the cases by name. trouble is whether the disruption is played.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"budget-returning-owner": budgetReturningOwner,
-	"drain-late-beat":        drainLateBeat,
+	"budget-returning-owner":  budgetReturningOwner,
+	"quota-lost-registration": quotaLostRegistration,
+	"drain-late-beat":         drainLateBeat,
 }
 
 func main() {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -43,6 +43,16 @@
 	next     uint64
 	changed  chan struct{}
 	address  string
+	loseFor  time.Duration     // until the next write is executed, which gets no answer; 0 to answer it
+	say      func(text string) // about the write that is lost
+}
+
+// loseNextWrite makes the next transaction get no answer; it is executed late, if its leases
+// still exist then.
+func (s *store) loseNextWrite(late time.Duration, say func(text string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseFor, s.say = late, say
 }
 
 func startStore(ip string) (*store, error) {
@@ -203,25 +213,48 @@
 	}
 }
 
+// transaction is a write under conditions.
+type transaction struct {
+	Precondition []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"precondition"`
+	Set []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease uint64 `json:"lease"`
+	} `json:"setKeys"`
+	Remove []string `json:"remove"`
+}
+
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
-	var call struct {
-		Precondition []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"precondition"`
-		Set []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease uint64 `json:"lease"`
-		} `json:"setKeys"`
-		Remove []string `json:"remove"`
-	}
+	var call transaction
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 		reply(w, http.StatusBadRequest, nil)
 		return
 	}
 	s.mu.Lock()
-	status := http.StatusOK
+	late, say := s.loseFor, s.say
+	s.loseFor = 0
+	s.mu.Unlock()
+	if late > 0 {
+		say("the store gets a write and loses its answer")
+		time.AfterFunc(late, func() {
+			status, _ := s.execute(&call)
+			say(fmt.Sprintf("the store executes that write: status %d", status))
+		})
+		<-r.Context().Done() // a channel on which a response is lost returns nothing further
+		return
+	}
+	status, revision := s.execute(&call)
+	reply(w, status, map[string]any{"revision": revision, "items": []item{}})
+}
+
+// execute executes a transaction.
+func (s *store) execute(call *transaction) (status int, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status = http.StatusOK
 	for _, p := range call.Precondition {
 		if s.items[p.Key].Revision != p.Revision {
 			status = http.StatusPreconditionFailed
@@ -240,9 +273,7 @@
 			s.del(key)
 		}
 	}
-	revision := s.revision
-	s.mu.Unlock()
-	reply(w, status, map[string]any{"revision": revision, "items": []item{}})
+	return status, s.revision
 }
 
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
