--- a/review/standin2/budget.go
+++ b/review/standin2/budget.go
@@ -100,7 +100,7 @@
 
 // budgetReturningOwner: one machine, the owner of a service, freezes twice. The second time,
 // the servers reject a part of what arrives.
-func budgetReturningOwner(f *fleet, trouble bool) (int, error) {
+func budgetReturningOwner(f *fleet, played trouble) (int, error) {
 	f.store.put("op/config", []byte(configuration))
 	if err := f.addServers("ledger", 8, 60*time.Millisecond); err != nil {
 		return failed, err
@@ -116,19 +116,21 @@
 		return failed, fmt.Errorf("the owner is not known")
 	}
 	f.say("owner of the service: %s", first.name)
-	if trouble {
+	if played == all {
 		freeze(f, first)
 	} else {
 		time.Sleep(freezeTime)
 	}
 	time.Sleep(12 * time.Second)
-	f.say("servers reject %.0f in 100 arrivals", 100*shedShare)
-	for _, s := range f.servers {
-		s.setShed(func(string) bool { return rand.Float64() < shedShare })
+	if played != none {
+		f.say("servers reject %.0f in 100 arrivals", 100*shedShare)
+		for _, s := range f.servers {
+			s.setShed(func(string) bool { return rand.Float64() < shedShare })
+		}
 	}
 	shedEnds := time.After(shedTime)
 	time.Sleep(3 * time.Second)
-	if trouble {
+	if played == all {
 		if now := owner(f); now != nil {
 			first = now
 		}
@@ -140,7 +142,7 @@
 	for _, s := range f.servers {
 		s.setShed(nil)
 	}
-	f.say("servers reject nothing")
+	f.say("servers reject nothing from here on")
 	time.Sleep(6 * time.Second)
 	l.stop.Store(true)
 	l.done.Wait()
--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -65,7 +65,7 @@
 
 // drainLateBeat: servers leave as planned. The store has lost the answer to an earlier
 // heartbeat of theirs and executes it after it has accepted that they are draining.
-func drainLateBeat(f *fleet, trouble bool) (int, error) {
+func drainLateBeat(f *fleet, played trouble) (int, error) {
 	f.store.put("op/config", []byte(configuration))
 	if err := f.addServers("ledger", 6, serverWork); err != nil {
 		return failed, err
@@ -98,7 +98,7 @@
 	time.Sleep(8 * time.Second)
 	acknowledged := make([]time.Time, leavers)
 	for i, s := range leaving {
-		acknowledged[i] = s.leave(f, <-stops[i], trouble)
+		acknowledged[i] = s.leave(f, <-stops[i], played == all)
 		time.Sleep(leavingTime)
 	}
 	time.Sleep(settleTime)
@@ -107,6 +107,7 @@
 	f.say("answers by status (0: none): %v", l.statuses)
 	result := held
 	for i, s := range leaving {
+		s.mu.Lock()
 		before, after := 0, 0
 		for _, a := range s.arrivals {
 			if since := a.at.Sub(acknowledged[i]); since > drainBound {
@@ -124,6 +125,7 @@
 				f.say("%s was running at %s when it ended", id, s.id)
 			}
 		}
+		s.mu.Unlock()
 		f.say("%s: %d requests before, %d later than drain after it was acknowledged; %d running at its end", s.id, before, after, lost)
 	}
 	if result == broken {
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,18 +20,20 @@
 )
 
 const (
-	callerPort  = 8388
-	readyPort   = 8384
-	controlPort = 8381
-	fleetPort   = 7560
+	metricsPort = 9464        // in the command of the deploy file
 	probePeriod = time.Second // of the platform's question whether a machine is ready
+	ready       = 1           // offsets of the other ports of a machine from that for callers
+	control     = 2
+	internal    = 3
+	internals   = 16 // ports for the machines among themselves
 )
 
 // gateway is one machine of the system with its process.
 type gateway struct {
 	name, ip, boot, log string
 	mu                  sync.Mutex
-	command             *exec.Cmd
+	process             *os.Process   // nil before the start
+	ended               chan struct{} // closed when the process has ended
 	inRotation          atomic.Bool
 }
 
@@ -40,9 +44,13 @@
 	store    *store
 	servers  []*server
 	gateways []*gateway
+	port     int // of the machines, for callers
+	memoryMB int
+	fds      int
 	record   *os.File
 	recordMu sync.Mutex
 	began    time.Time
+	closed   atomic.Bool
 }
 
 func newFleet(record string) (*fleet, error) {
@@ -52,10 +60,12 @@
 	}
 	file, err := os.Create(record)
 	if err != nil {
+		_ = os.RemoveAll(dir)
 		return nil, err
 	}
 	f := &fleet{dir: dir, net: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250)), record: file, began: time.Now()}
 	if f.store, err = startStore(f.net + ".250"); err != nil {
+		f.close()
 		return nil, err
 	}
 	return f, nil
@@ -87,23 +97,59 @@
 	return nil
 }
 
-// addGateways writes the settings of n machines and starts them.
+// addGateways starts n machines, each with the memory and descriptors.
 func (f *fleet) addGateways(n int, memoryMB, fds int) error {
+	f.memoryMB, f.fds = memoryMB, fds
 	for i := range n {
 		g := &gateway{name: fmt.Sprintf("edge-z1-%d", i+1), ip: fmt.Sprintf("%s.%d", f.net, i+1)}
 		g.boot, g.log = filepath.Join(f.dir, g.name+".conf"), filepath.Join(f.dir, g.name+".log")
-		if err := os.WriteFile(g.boot, []byte(f.settings(g, memoryMB, fds)), 0o600); err != nil {
-			return err
-		}
 		f.gateways = append(f.gateways, g)
-		if err := f.start(g); err != nil {
+	}
+	if err := f.choosePorts(); err != nil {
+		return err
+	}
+	for _, g := range f.gateways {
+		if err := f.start(g, true); err != nil {
 			return err
 		}
 	}
 	return f.awaitReady()
 }
 
-func (f *fleet) settings(g *gateway, memoryMB, fds int) string {
+// choosePorts chooses ports that are free on all machines.
+func (f *fleet) choosePorts() error {
+	for range 50 {
+		f.port = 10000 + rand.IntN(20000)
+		ports := []int{f.port, f.port + ready, f.port + control, f.port + internal, f.port + internal + 1, metricsPort}
+		free := true
+		for _, g := range f.gateways {
+			for _, port := range ports {
+				free = free && isFree(g.ip, port)
+			}
+		}
+		if free {
+			return nil
+		}
+	}
+	return fmt.Errorf("no free ports, or port %d of the deploy file is in use", metricsPort)
+}
+
+// isFree reports whether the port is free for TCP and UDP.
+func isFree(ip string, port int) bool {
+	address := net.JoinHostPort(ip, strconv.Itoa(port))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
+func (f *fleet) settings(g *gateway, first bool) string {
 	return fmt.Sprintf(`self.nodeName=%[1]s
 self.role=gateway
 self.machineClass=edge
@@ -112,7 +158,7 @@
 self.zone=z1
 self.region=r1
 self.inFaultBudget=false
-self.bootstrap=true
+self.bootstrap=%[11]t
 self.limits.cpuShare=0.32
 self.limits.cpuCores=1
 self.limits.memoryMb=%[4]d
@@ -161,26 +207,38 @@
 terms.bounds.recovery=15s
 terms.bounds.probesPerS=3
 terms.bounds.minShare=0.7
-`, g.name, g.ip, f.store.address, memoryMB, fds, callerPort, readyPort, controlPort, fleetPort, fleetPort+15)
+`, g.name, g.ip, f.store.address, f.memoryMB, f.fds, f.port, f.port+ready, f.port+control, f.port+internal, f.port+internal+internals-1, first)
 }
 
-// start runs the command of the deploy file.
-func (f *fleet) start(g *gateway) error {
+// start writes the settings of the machine and runs the command of the deploy file. first is
+// whether the whole system starts for the first time.
+func (f *fleet) start(g *gateway, first bool) error {
+	if err := os.WriteFile(g.boot, []byte(f.settings(g, first)), 0o600); err != nil {
+		return err
+	}
 	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	command := exec.Command("target/lacewing-gateway", "--metrics-port", "9464")
+	command := exec.Command("target/lacewing-gateway", "--metrics-port", strconv.Itoa(metricsPort))
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LACEWINGMOUNT_BOOT=" + g.boot}
 	command.Stdout, command.Stderr = out, out
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.closed.Load() {
+		return errors.New("the case ends")
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
-	g.mu.Lock()
-	g.command = command
-	g.mu.Unlock()
+	ended := make(chan struct{})
+	g.process, g.ended = command.Process, ended
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
 	f.note("%s started, process %d", g.name, command.Process.Pid)
 	return nil
 }
@@ -188,23 +246,26 @@
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_ = g.command.Process.Signal(s)
+	_ = g.process.Signal(s)
 }
 
 // wait waits for the end of the process, and kills it after the grace period.
 func (g *gateway) wait(grace time.Duration) {
 	g.mu.Lock()
-	command := g.command
+	ended := g.ended
 	g.mu.Unlock()
-	timer := time.AfterFunc(grace, func() { _ = command.Process.Kill() })
-	defer timer.Stop()
-	_ = command.Wait()
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		g.signal(syscall.SIGKILL)
+		<-ended
+	}
 }
 
 func (f *fleet) awaitReady() error {
 	for _, g := range f.gateways {
 		deadline := time.Now().Add(10 * time.Second)
-		for !isReady(g) {
+		for !f.isReady(g) {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s is not ready", g.name)
 			}
@@ -213,7 +274,7 @@
 		g.inRotation.Store(true)
 		go func() {
 			for misses := 0; ; time.Sleep(probePeriod) {
-				if isReady(g) {
+				if f.isReady(g) {
 					misses = 0
 				} else {
 					misses++
@@ -227,8 +288,8 @@
 
 var probeClient = &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func isReady(g *gateway) bool {
-	response, err := probeClient.Get(fmt.Sprintf("http://%s:%d/api/ready", g.ip, readyPort))
+func (f *fleet) isReady(g *gateway) bool {
+	response, err := probeClient.Get(fmt.Sprintf("http://%s:%d/api/ready", g.ip, f.port+ready))
 	if err != nil {
 		return false
 	}
@@ -250,20 +311,22 @@
 	return in[hash%len(in)]
 }
 
-// close ends all processes and removes the folder.
+// close ends all processes, waits for their end and removes the folder.
 func (f *fleet) close() {
+	f.closed.Store(true)
 	for _, g := range f.gateways {
 		g.mu.Lock()
-		if g.command != nil {
-			_ = g.command.Process.Kill()
-		}
+		process, ended := g.process, g.ended
 		g.mu.Unlock()
+		if process != nil {
+			_ = process.Kill() // does nothing if it has ended
+			<-ended
+		}
 	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		_ = exec.Command("cp", "-r", f.dir, keep).Run()
 	}
 	_ = os.RemoveAll(f.dir)
-	_ = f.record.Close()
 }
 
 // logLines returns the lines of the machine's log that contain all words.
@@ -313,7 +376,7 @@
 func (c *client) send(method, host, path, id, key string, budget time.Duration, body string) result {
 	if c.conn == nil {
 		c.at = c.f.pick(c.number)
-		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", c.at.ip, callerPort), time.Second)
+		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", c.at.ip, c.f.port), time.Second)
 		if err != nil {
 			return result{err: err}
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,8 +23,18 @@
 // longest is the time after which a case is given up.
 const longest = 115 * time.Second
 
-// cases are the cases by name. trouble is whether the disruption is played.
-var cases = map[string]func(f *fleet, trouble bool) (int, error){
+// trouble is what TROUBLE asks for.
+type trouble int
+
+// Troubles.
+const (
+	all  trouble = iota // all disruptions of the case
+	part                // TROUBLE=part: only the one that comes from clients or servers
+	none                // TROUBLE=0
+)
+
+// cases are the cases by name.
+var cases = map[string]func(f *fleet, played trouble) (int, error){
 	"budget-returning-owner":  budgetReturningOwner,
 	"quota-lost-registration": quotaLostRegistration,
 	"drain-late-beat":         drainLateBeat,
@@ -39,22 +50,26 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	var once sync.Mutex // is not unlocked: only the first caller ends the case
 	end := func(result int) {
+		once.Lock()
 		f.say("result %d", result)
 		f.close()
 		os.Exit(result)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGQUIT)
 	go func() {
 		select {
-		case <-signals:
+		case s := <-signals:
+			f.say("interrupted by %v", s)
 		case <-time.After(longest):
+			f.say("given up")
 		}
-		f.say("given up")
 		end(failed)
 	}()
-	result, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
+	played := map[string]trouble{"0": none, "part": part}[os.Getenv("TROUBLE")] // all by default
+	result, err := cases[os.Args[1]](f, played)
 	if err != nil {
 		f.say("the case could not run: %v", err)
 		result = failed
--- a/review/standin2/quota.go
+++ b/review/standin2/quota.go
@@ -28,10 +28,10 @@
 	f.say("%s gets SIGTERM", g.name)
 	g.signal(syscall.SIGTERM)
 	g.wait(graceTime)
-	if err := f.start(g); err != nil {
+	if err := f.start(g, false); err != nil {
 		return err
 	}
-	for deadline := time.Now().Add(5 * time.Second); !isReady(g); time.Sleep(20 * time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !f.isReady(g); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			return fmt.Errorf("%s is not ready", g.name)
 		}
@@ -43,7 +43,7 @@
 // quotaLostRegistration: the store loses the answer to one write of a machine that has just
 // started, and executes it late. Later the other machines are restarted in turn, and a
 // tenant sends many times its usual.
-func quotaLostRegistration(f *fleet, trouble bool) (int, error) {
+func quotaLostRegistration(f *fleet, played trouble) (int, error) {
 	f.store.put("op/config", []byte(strings.Replace(configuration, `"ratePerS":0,"burst":0`, fmt.Sprintf(`"ratePerS":%d,"burst":%d`, quotaRate, quotaRate), 1)))
 	if err := f.addServers("ledger", 10, 60*time.Millisecond); err != nil {
 		return failed, err
@@ -55,7 +55,7 @@
 	second := float64(time.Second)
 	usual := startLoad(f, "c", quotaClients/4, time.Duration(quotaClients/4/usualRate*second))
 	time.Sleep(3 * time.Second)
-	if trouble {
+	if played == all {
 		f.store.loseNextWrite(lateWrite, func(text string) { f.say("%s", text) })
 	}
 	if err := f.restart(f.gateways[0]); err != nil {
@@ -69,8 +69,11 @@
 		time.Sleep(betweenStops)
 	}
 	time.Sleep(6 * time.Second)
-	f.say("the tenant sends %.1f times its usual", hotFactor)
-	hot := startLoad(f, "hot", quotaClients, time.Duration(quotaClients/(usualRate*(hotFactor-1))*second))
+	hot := &load{}
+	if played != none {
+		f.say("the tenant sends %.1f times its usual", hotFactor)
+		hot = startLoad(f, "hot", quotaClients, time.Duration(quotaClients/(usualRate*(hotFactor-1))*second))
+	}
 	time.Sleep(hotTime)
 	hot.stop.Store(true)
 	hot.done.Wait()
@@ -84,11 +87,13 @@
 func checkQuota(f *fleet, sent []sentRequest) int {
 	ranAt := map[string]time.Time{}
 	for _, s := range f.servers {
+		s.mu.Lock()
 		for _, a := range s.arrivals {
 			if a.ran {
 				ranAt[a.id] = a.at
 			}
 		}
+		s.mu.Unlock()
 	}
 	allowed := (quotaRate*quotaWindow.Seconds()+quotaRate)*(1+quotaOverage) + quotaSlack
 	worst, worstFrom := 0, time.Time{}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -243,8 +243,8 @@
 			status, _ := s.execute(&call)
 			say(fmt.Sprintf("the store executes that write: status %d", status))
 		})
-		<-r.Context().Done() // a channel on which a response is lost returns nothing further
-		return
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler) // a channel on which a response is lost returns nothing further
 	}
 	status, revision := s.execute(&call)
 	reply(w, status, map[string]any{"revision": revision, "items": []item{}})
